Set up the workspace, the design page and the shared foundations

Cause: the repository was empty. Change: workspace of five packages with pinned dependencies and lints; design page and glossary; link messages and frame codec; identifiers, state-chart interpreter, event catalogue, settings catalogue with exceptions; settings files, logs, metrics, life cycle and platform adapter of the daemon.

--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator client of sassafrasslip.
--- /dev/null
+++ b/crates/client/src/main.rs
@@ -0,0 +1,3 @@
+//! Operator client of sassafrasslip.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/configuration/view.rs
@@ -0,0 +1,56 @@
+//! Configuration as an instance sees it: a snapshot, and whether its lease is live.
+
+use {
+    super::{
+        Revision,
+        catalogue::{SettingKey, SettingValue},
+        snapshot::{ConfigurationSnapshot, ResolvedSetting, SettingTarget},
+    },
+    std::sync::Arc,
+};
+
+/// Snapshot in force at an instance.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigurationView {
+    /// Newest revision that the instance has seen.
+    pub snapshot: Arc<ConfigurationSnapshot>,
+    /// Whether the instance holds a live configuration lease. Without one, the `cut_off.*`
+    /// settings apply on top.
+    pub lease_live: bool,
+}
+
+impl ConfigurationView {
+    /// Returns the revision of the snapshot.
+    pub fn revision(&self) -> Revision {
+        self.snapshot.revision
+    }
+
+    /// Returns the value of `key` that applies to `target`. Concurrency limits are reduced by
+    /// `cut_off.concurrency` while the lease is lapsed.
+    pub fn resolve(&self, key: SettingKey, target: &SettingTarget<'_>) -> ResolvedSetting {
+        let resolved = self.snapshot.resolve(key, target);
+        let limited = matches!(
+            key,
+            SettingKey::TeamConcurrency | SettingKey::TargetConcurrency
+        );
+        if self.lease_live || !limited {
+            return resolved;
+        }
+        let share = self.snapshot.resolve(SettingKey::CutOffConcurrency, target);
+        let percent = share.value.as_number();
+        if percent == 100 {
+            return resolved;
+        }
+        let number = (resolved.value.as_number() * percent / 100).max(1);
+        ResolvedSetting {
+            value: SettingValue::Number(number),
+            source: share.source,
+        }
+    }
+
+    /// Returns whether the instance accepts work at all.
+    pub fn serves(&self, target: &SettingTarget<'_>) -> bool {
+        let mode = self.snapshot.resolve(SettingKey::CutOffMode, target);
+        self.lease_live || mode.value.is_first_choice()
+    }
+}
--- /dev/null
+++ b/crates/core/src/events.rs
@@ -0,0 +1,110 @@
+//! Catalogue of the numbered log events.
+//!
+//! `docs/EVENTS.md` describes every event; a test holds the two together.
+
+use log::Level;
+
+macro_rules! log_events {
+    ($($number:literal $event:ident $level:ident $message:literal;)*) => {
+        /// Numbered log event.
+        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub enum LogEvent {
+            $(#[doc = $message] $event,)*
+        }
+
+        impl LogEvent {
+            /// All events, ordered by number.
+            pub const ALL: &'static [Self] = &[$(Self::$event,)*];
+
+            /// Returns the number, which never changes its meaning.
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$event => $number,)* }
+            }
+
+            /// Returns the name of the event.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$event => stringify!($event),)* }
+            }
+
+            /// Returns the level at which the event is logged.
+            pub const fn level(self) -> Level {
+                match self { $(Self::$event => Level::$level,)* }
+            }
+
+            /// Returns the fixed message; details stand in the fields of the line.
+            pub const fn message(self) -> &'static str {
+                match self { $(Self::$event => $message,)* }
+            }
+        }
+    };
+}
+
+log_events! {
+    1001 ProcessStarted Info "process started";
+    1002 ProcessServing Info "process is serving";
+    1003 StopRequested Info "graceful stop started";
+    1004 ProcessStopped Info "process stopped";
+    1005 StopGraceExceeded Error "work in flight was still running when the stop grace ended";
+    1006 ListenerFailed Error "listener failed";
+    2001 RouteDecided Info "routing decision";
+    2002 RouteFailed Info "no target could be chosen";
+    2003 RequestAnswered Info "request answered";
+    2004 RequestRefused Info "request refused";
+    2005 RequestUnknown Warn "outcome of the request is unknown";
+    2006 RequestRetried Info "request is sent to another target";
+    2007 StreamResumed Info "broken stream is resumed";
+    2008 AnswerCut Warn "connection closed before the end of the answer";
+    2009 FrameDropped Warn "frame dropped";
+    2010 CallerGone Info "caller closed the connection";
+    2011 DispatchReceived Info "dispatch received";
+    2012 DispatchDeclined Info "dispatch refused by the agent";
+    3001 TeamLimited Info "team limit reached";
+    3002 QueueFull Info "request queue is full";
+    3003 RetryBudgetExhausted Warn "retry budget is exhausted";
+    4001 RevisionApplied Info "configuration revision applied";
+    4002 RevisionIgnored Warn "older configuration revision ignored";
+    4003 ChangeAccepted Info "configuration change accepted";
+    4004 ChangeConflict Warn "configuration change lost a race";
+    4005 LeaseLapsed Warn "configuration lease lapsed; the cut-off defaults apply";
+    4006 LeaseRenewed Info "configuration lease is held again";
+    4007 ChangeRefused Warn "configuration change refused";
+    5001 PlacementDecided Info "placement decision";
+    5002 MapChangeStarted Info "expert map change started";
+    5003 MapChangeCommitted Info "expert map change committed";
+    5004 MapChangeAborted Warn "expert map change aborted";
+    5005 StaleOrderRefused Warn "order with an old fencing token refused";
+    5006 PlacementLeaseTaken Info "placement lease taken";
+    5007 PlacementLeaseLost Warn "placement lease lost";
+    5008 RankSlow Warn "rank is slow at an even load";
+    6001 ClaimInserted Info "start record inserted";
+    6002 ClaimLost Info "another attempt holds the key";
+    6003 ClaimDone Info "answer of a non-idempotent call stored";
+    6004 TombstoneInserted Info "tombstone inserted; the call was not run";
+    6005 AnswerReplayed Info "stored answer sent again";
+    6006 ClaimsSwept Info "expired claim records deleted";
+    7001 InstanceJoined Info "instance joined";
+    7002 InstanceLeft Info "instance left";
+    7003 TargetDraining Info "target takes no new work";
+    7004 LinkOpened Info "link opened";
+    7005 LinkClosed Warn "link closed";
+    7006 TargetUnhealthy Warn "target failed its health check";
+    8001 PlatformUnavailable Warn "platform call failed";
+    8002 PlatformRecovered Info "platform answers again";
+}
+
+/// Logs a [`LogEvent`] with `key = value` fields.
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr $(, $key:ident = $value:expr)* $(,)?) => {{
+        let event: $crate::events::LogEvent = $event;
+        ::log::log!(
+            target: "sassafrasslip",
+            event.level(),
+            event = event.number(),
+            name = event.name()
+            $(, $key:% = $value)*;
+            "{}",
+            event.message()
+        );
+    }};
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions of sassafrasslip, without sockets, files or spawned tasks.
+//!
+//! Every module takes events and the current time as arguments and returns decisions, so that
+//! tests and measurements can drive it without a network.
+
+pub mod chart;
+pub mod configuration;
+pub mod events;
+pub mod explanation;
+pub mod ids;
--- /dev/null
+++ b/crates/daemon/src/agent.rs
@@ -0,0 +1,13 @@
+//! Agent: guards one target.
+
+use crate::{Result, options::DaemonOptions};
+
+/// Runs an agent until it is stopped.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn serve(options: DaemonOptions) -> Result<()> {
+    let _ = options;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/arguments.rs
@@ -0,0 +1,88 @@
+//! Command-line arguments of the daemon.
+
+use {
+    clap::{Args, Parser, Subcommand},
+    std::{net::SocketAddr, path::PathBuf},
+};
+
+/// Load balancer for expert-parallel model groups: daemon.
+#[derive(Debug, Parser)]
+#[command(name = "sassafrasslipd", version, about)]
+pub struct DaemonArguments {
+    /// What to run.
+    #[command(subcommand)]
+    pub command: DaemonCommand,
+}
+
+/// Role of the process.
+#[derive(Debug, Subcommand)]
+pub enum DaemonCommand {
+    /// Accept callers and route their requests.
+    Entry(EntryArguments),
+    /// Guard one target.
+    Agent(AgentArguments),
+    /// Check a settings file without starting.
+    Check(CheckArguments),
+}
+
+/// Arguments of `entry`.
+#[derive(Args, Debug)]
+pub struct EntryArguments {
+    /// Settings file.
+    #[arg(long, short = 'f', value_name = "FILE")]
+    pub file: PathBuf,
+    /// Settings that win over the file.
+    #[command(flatten)]
+    pub overrides: OverrideArguments,
+    /// Address for callers.
+    #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
+    pub caller_address: Option<SocketAddr>,
+    /// Address for operators.
+    #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
+    pub operator_address: Option<SocketAddr>,
+}
+
+/// Arguments of `agent`.
+#[derive(Args, Debug)]
+pub struct AgentArguments {
+    /// Settings file.
+    #[arg(long, short = 'f', value_name = "FILE")]
+    pub file: PathBuf,
+    /// Settings that win over the file.
+    #[command(flatten)]
+    pub overrides: OverrideArguments,
+    /// Address of the target that the agent guards.
+    #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
+    pub target_address: Option<SocketAddr>,
+}
+
+/// Arguments of `check`.
+#[derive(Args, Debug)]
+pub struct CheckArguments {
+    /// Settings file.
+    #[arg(value_name = "FILE")]
+    pub file: PathBuf,
+}
+
+/// Arguments that win over the settings file, common to entries and agents.
+#[derive(Args, Clone, Debug, Default)]
+pub struct OverrideArguments {
+    /// Name of the instance.
+    #[arg(long, value_name = "NAME", help_heading = "Instance")]
+    pub instance: Option<String>,
+    /// Availability zone of the instance.
+    #[arg(long, value_name = "NAME", help_heading = "Instance")]
+    pub availability_zone: Option<String>,
+    /// Address for links between the system's processes.
+    #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
+    pub link_address: Option<SocketAddr>,
+    /// Address for metrics and health.
+    #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
+    pub metrics_address: Option<SocketAddr>,
+    /// Address of the platform's services.
+    #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
+    pub platform_address: Option<SocketAddr>,
+    /// Lowest level of log lines.
+    #[arg(long, value_name = "LEVEL", help_heading = "Logs")]
+    pub log_level: Option<String>,
+}
--- /dev/null
+++ b/crates/daemon/src/constants.rs
@@ -0,0 +1,49 @@
+//! Constants with their units, by area.
+
+use std::time::Duration;
+
+/// Threads of the runtime. Control work stays far below one core; a second thread keeps health
+/// and metrics answering while the first is busy with a large answer.
+pub const RUNTIME_THREADS: usize = 2;
+
+// Callers.
+
+/// Largest head of a caller's request, in bytes.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Largest body of a caller's request, in bytes.
+pub const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Time that a caller has to send the head and the body of a request.
+pub const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+// Links.
+
+/// Time to open a link and exchange `Hello`.
+pub const LINK_OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before a closed link is opened again.
+pub const LINK_RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Interval of reports on a link.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// A link that was silent for this long is closed; three reports are missing by then.
+pub const LINK_SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Messages that wait to be written on one link.
+pub const LINK_QUEUE_LENGTH: usize = 1024;
+
+// Configuration.
+
+/// Duration of a configuration lease. Shorter than the 6 s in which a change has to be in force,
+/// so that an acceptance never waits longer than that for a silent entry.
+pub const LEASE_DURATION: Duration = Duration::from_secs(3);
+/// Interval at which a lease is renewed and the head revision read.
+pub const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+// Membership.
+
+/// Interval at which the platform's instance list is read.
+pub const INSTANCE_LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+// Claims.
+
+/// Time for which the record of a non-idempotent call is kept.
+pub const CLAIM_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+/// Largest answer that is stored in the claim record itself; longer ones go to the object store.
+pub const MAX_INLINE_ANSWER_BYTES: usize = 64 * 1024;
--- /dev/null
+++ b/crates/daemon/src/options.rs
@@ -0,0 +1,111 @@
+//! Settings of a process: one struct and one file a section of the INI file.
+
+pub mod agent;
+pub mod entry;
+pub mod instance;
+pub mod log;
+pub mod metrics;
+pub mod platform;
+pub mod source;
+pub mod stop;
+
+pub use {
+    agent::AgentOptions, entry::EntryOptions, instance::InstanceOptions, log::LogOptions,
+    metrics::MetricsOptions, platform::PlatformOptions, source::SettingsError, stop::StopOptions,
+};
+
+use {
+    crate::arguments::{DaemonCommand, OverrideArguments},
+    error_stack::Report,
+    source::SettingsSource,
+    std::{path::Path, result},
+};
+
+/// Result of reading settings.
+pub type Result<T> = result::Result<T, Report<SettingsError>>;
+
+/// All settings of a process. Arguments win over the file, the file over defaults.
+#[derive(Clone, Debug)]
+pub struct DaemonOptions {
+    /// Section `instance`.
+    pub instance: InstanceOptions,
+    /// Section `entry`; present if the file describes an entry.
+    pub entry: Option<EntryOptions>,
+    /// Section `agent`; present if the file describes an agent.
+    pub agent: Option<AgentOptions>,
+    /// Section `platform`.
+    pub platform: PlatformOptions,
+    /// Section `metrics`.
+    pub metrics: MetricsOptions,
+    /// Section `log`.
+    pub log: LogOptions,
+    /// Section `stop`.
+    pub stop: StopOptions,
+}
+
+const SECTIONS: &[&str] = &[
+    "instance", "entry", "agent", "platform", "metrics", "log", "stop",
+];
+
+impl DaemonOptions {
+    /// Reads and checks the settings that a command names.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a missing file, an unknown section or key, and an invalid value; the error names
+    /// file, section, key and value.
+    pub fn load(command: &DaemonCommand) -> Result<Self> {
+        match command {
+            DaemonCommand::Agent(arguments) => {
+                let mut source = Self::open(&arguments.file, &arguments.overrides)?;
+                source.require_section("agent")?;
+                source.set_address("agent", "target_address", arguments.target_address);
+                let link_address = arguments.overrides.link_address;
+                source.set_address("agent", "link_address", link_address);
+                Self::from_source(&source)
+            }
+            DaemonCommand::Check(arguments) => {
+                let source = SettingsSource::open(&arguments.file, SECTIONS)?;
+                Self::from_source(&source)
+            }
+            DaemonCommand::Entry(arguments) => {
+                let mut source = Self::open(&arguments.file, &arguments.overrides)?;
+                source.require_section("entry")?;
+                source.set_address("entry", "caller_address", arguments.caller_address);
+                source.set_address("entry", "operator_address", arguments.operator_address);
+                let link_address = arguments.overrides.link_address;
+                source.set_address("entry", "link_address", link_address);
+                Self::from_source(&source)
+            }
+        }
+    }
+
+    fn open(file: &Path, overrides: &OverrideArguments) -> Result<SettingsSource> {
+        let mut source = SettingsSource::open(file, SECTIONS)?;
+        source.set("instance", "name", overrides.instance.clone());
+        source.set(
+            "instance",
+            "availability_zone",
+            overrides.availability_zone.clone(),
+        );
+        source.set_address("metrics", "address", overrides.metrics_address);
+        source.set_address("platform", "address", overrides.platform_address);
+        source.set("log", "level", overrides.log_level.clone());
+        Ok(source)
+    }
+
+    fn from_source(source: &SettingsSource) -> Result<Self> {
+        if !source.has_section("entry") && !source.has_section("agent") {
+            source.require_section("entry")?;
+        }
+        Ok(Self {
+            instance: source.section("instance")?,
+            entry: source.optional_section("entry")?,
+            agent: source.optional_section("agent")?,
+            platform: source.section("platform")?,
+            metrics: source.section("metrics")?,
+            log: source.section("log")?,
+            stop: source.section("stop")?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/options/platform.rs
@@ -0,0 +1,25 @@
+//! Section `platform`.
+
+use {
+    super::stop::MillisecondsText,
+    serde::Deserialize,
+    serde_with::serde_as,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Services of the platform.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformOptions {
+    /// Address of the table service, the object store and the instance list.
+    pub address: SocketAddr,
+    /// Longest wait for an answer.
+    #[serde_as(as = "MillisecondsText")]
+    #[serde(default = "default_timeout")]
+    pub timeout: Duration,
+}
+
+fn default_timeout() -> Duration {
+    Duration::from_millis(1_000)
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -0,0 +1,130 @@
+//! Metrics registry, and the server of `/metrics`, `/healthz` and `/readyz`.
+
+use {
+    super::HealthState,
+    bytes::Bytes,
+    error_stack::Report,
+    http_body_util::Full,
+    hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    prometheus_client::{encoding::text::encode, registry::Registry},
+    std::{
+        convert::Infallible,
+        error::Error,
+        fmt,
+        net::SocketAddr,
+        result,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::net::TcpListener,
+};
+
+/// Result of starting the metrics server.
+pub type Result<T> = result::Result<T, Report<MetricsError>>;
+
+/// Time that a scraper has to send its request.
+const SCRAPE_READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The metrics address cannot be bound.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MetricsError {
+    /// Address of the setting `[metrics] address`.
+    pub address: SocketAddr,
+    /// Reason given by the system.
+    pub fault: String,
+}
+
+impl fmt::Display for MetricsError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "[metrics] address = {}: {}",
+            self.address, self.fault
+        )
+    }
+}
+
+impl Error for MetricsError {}
+
+/// Registry to which every part of the process adds its metrics. Clones share the registry.
+#[derive(Clone, Debug)]
+pub struct MetricsRegistry {
+    registry: Arc<Mutex<Registry>>,
+}
+
+impl Default for MetricsRegistry {
+    fn default() -> Self {
+        let registry = Registry::with_prefix("sassafrasslip");
+        Self {
+            registry: Arc::new(Mutex::new(registry)),
+        }
+    }
+}
+
+impl MetricsRegistry {
+    /// Runs `register` on the registry.
+    pub fn with<T>(&self, register: impl FnOnce(&mut Registry) -> T) -> T {
+        register(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn encode(&self) -> String {
+        let mut text = String::new();
+        let encoded = self.with(|registry| encode(&mut text, registry));
+        encoded.map_or_else(|_| String::new(), |()| text)
+    }
+}
+
+/// Binds the address and serves until the process ends.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn serve(
+    address: SocketAddr,
+    registry: MetricsRegistry,
+    health: HealthState,
+) -> Result<SocketAddr> {
+    let fail = |error: std::io::Error| {
+        Report::new(MetricsError {
+            address,
+            fault: error.to_string(),
+        })
+    };
+    let listener = TcpListener::bind(address).await.map_err(fail)?;
+    let bound = listener.local_addr().map_err(fail)?;
+    tokio::spawn(accept_scrapers(listener, registry, health));
+    Ok(bound)
+}
+
+async fn accept_scrapers(listener: TcpListener, registry: MetricsRegistry, health: HealthState) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (registry, health) = (registry.clone(), health.clone());
+        let service = service_fn(move |request| {
+            let answer = answer(&request, &registry, &health);
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(SCRAPE_READ_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+fn answer(
+    request: &Request<Incoming>,
+    registry: &MetricsRegistry,
+    health: &HealthState,
+) -> Response<Full<Bytes>> {
+    let (status, text) = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/healthz") => (StatusCode::OK, "ok\n".to_owned()),
+        (&Method::GET, "/metrics") => (StatusCode::OK, registry.encode()),
+        (&Method::GET, "/readyz") if health.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
+        (&Method::GET, "/readyz") => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
+    };
+    let mut response = Response::new(Full::from(text));
+    *response.status_mut() = status;
+    response
+}
