--- /dev/null
+++ b/crates/testkit/examples/chart_to_promela.rs
@@ -0,0 +1,12 @@
+//! Prints the Promela form of a chart: `chart_to_promela FILE`.
+
+use {
+    sassafrasslip_testkit::promela::translate_chart,
+    std::{env, error::Error, fs},
+};
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let file = env::args().nth(1).ok_or("usage: chart_to_promela FILE")?;
+    print!("{}", translate_chart(&fs::read_to_string(file)?)?);
+    Ok(())
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,3 +2,4 @@
 //! measurements. This package is not shipped.
 
 pub mod cases;
+pub mod promela;
