--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,3 +2,8 @@
 //! measurements. This package is not shipped.
 
 pub mod cases;
+pub mod engine;
+pub mod http;
+pub mod platform;
+pub mod relay;
+pub mod service;
--- /dev/null
+++ b/crates/testkit/src/relay/pump.rs
@@ -0,0 +1,102 @@
+//! Copies the bytes of one connection under the switch.
+
+use {
+    super::switch::{RelayMode, RelaySwitch},
+    std::{io, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        sync::watch,
+        time::sleep,
+    },
+};
+
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Direction of a pump.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Direction {
+    ToCaller,
+    ToTarget,
+}
+
+struct Pump {
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+    switch: watch::Receiver<RelaySwitch>,
+    direction: Direction,
+    passed: u64,
+}
+
+/// Copies in both directions until both ends are done or the switch ends the connection.
+pub(super) async fn exchange(
+    caller: TcpStream,
+    target: TcpStream,
+    switch: watch::Receiver<RelaySwitch>,
+) {
+    let _ = caller.set_nodelay(true);
+    let _ = target.set_nodelay(true);
+    let (caller_reader, caller_writer) = caller.into_split();
+    let (target_reader, target_writer) = target.into_split();
+    let mut refusal = switch.clone();
+    let to_target = Pump {
+        reader: caller_reader,
+        writer: target_writer,
+        switch: switch.clone(),
+        direction: Direction::ToTarget,
+        passed: 0,
+    };
+    let to_caller = Pump {
+        reader: target_reader,
+        writer: caller_writer,
+        switch,
+        direction: Direction::ToCaller,
+        passed: 0,
+    };
+    let refused = refusal.wait_for(|switch| switch.mode == RelayMode::Refuse);
+    tokio::select! {
+        _ = refused => {}
+        // An error of one direction ends both.
+        _ = async { tokio::try_join!(to_target.run(), to_caller.run()) } => {}
+    }
+}
+
+impl Pump {
+    async fn run(mut self) -> io::Result<()> {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            let length = self.reader.read(&mut buffer).await?;
+            self.hold().await?;
+            if length == 0 {
+                return self.writer.shutdown().await;
+            }
+            let switch = *self.switch.borrow();
+            if switch.mode == RelayMode::Delay {
+                sleep(Duration::from_millis(switch.delay_ms)).await;
+            }
+            let allowed = self.allowed(&switch, length);
+            self.writer.write_all(&buffer[..allowed]).await?;
+            self.passed += allowed as u64;
+            if allowed < length {
+                return Err(io::Error::other("the connection is cut"));
+            }
+        }
+    }
+
+    async fn hold(&mut self) -> io::Result<()> {
+        let passes = |switch: &RelaySwitch| switch.mode != RelayMode::BlackHole;
+        let held = self.switch.wait_for(passes).await;
+        held.map(|_| ()).map_err(io::Error::other)
+    }
+
+    fn allowed(&self, switch: &RelaySwitch, length: usize) -> usize {
+        if switch.mode != RelayMode::Cut || self.direction == Direction::ToTarget {
+            return length;
+        }
+        let left = switch.after_bytes.saturating_sub(self.passed);
+        length.min(left.try_into().unwrap_or(usize::MAX))
+    }
+}
