--- /dev/null
+++ b/crates/testkit/src/harness.rs
@@ -0,0 +1,50 @@
+//! Process harness: runs stand-ins, entries and agents as child processes on loopback.
+
+pub mod binaries;
+pub mod fleet;
+pub mod ports;
+pub mod process;
+pub mod readiness;
+pub mod settings;
+pub mod topology;
+
+pub use {
+    fleet::{AgentHandle, EntryHandle, Fleet, GroupHandle, RelayHandle, ServiceHandle},
+    process::{ChildProcess, ProcessSignal, ProcessSpec},
+    topology::{FleetTopology, GroupTopology, ServiceTopology, ZoneTopology},
+};
+
+use {
+    error_stack::Report,
+    std::{error::Error, fmt, result},
+};
+
+/// Result of a step of the harness.
+pub type Result<T> = result::Result<T, Report<HarnessError>>;
+
+/// Step of the harness that failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HarnessError {
+    /// Process, file or address.
+    pub subject: String,
+    /// What failed.
+    pub fault: String,
+}
+
+impl HarnessError {
+    /// Creates a report.
+    pub fn report(subject: impl ToString, fault: impl ToString) -> Report<Self> {
+        Report::new(Self {
+            subject: subject.to_string(),
+            fault: fault.to_string(),
+        })
+    }
+}
+
+impl fmt::Display for HarnessError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.subject, self.fault)
+    }
+}
+
+impl Error for HarnessError {}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cases;
 pub mod engine;
+pub mod harness;
 pub mod http;
 pub mod platform;
 pub mod relay;
