Add the load tool and the demonstration of a small fleet

Cause: answers and bookings have to be checked one by one, and a reader needs one command that shows the system at work. Change: the load tool sends a seeded mix in a closed or open loop, checks each answer against the deterministic tokens, compares bookings with the stand-ins' counts, and prints counts and percentiles. The demo starts a fleet through the harness, serves both kinds through two zones, changes the configuration with the operator client and stops by process id. The harness appends the end of a process's log to its errors.

--- a/crates/testkit/src/harness/fleet.rs
+++ b/crates/testkit/src/harness/fleet.rs
@@ -9,7 +9,7 @@
         process::{ChildProcess, ProcessSignal, ProcessSpec},
         topology::FleetTopology,
     },
-    crate::http::HttpClient,
+    crate::{engine::StepViolations, http::HttpClient},
     hyper::StatusCode,
     serde::Serialize,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
@@ -158,6 +158,31 @@
         Err(HarnessError::report(path, body))
     }
 
+    /// Reads a path with GET.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not answer 200.
+    pub async fn read(&self, address: SocketAddr, path: &str) -> Result<String> {
+        let answer = self.client.get(address, path).await;
+        let answer = answer.map_err(|error| HarnessError::report(path, error))?;
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        if answer.status == StatusCode::OK {
+            return Ok(body);
+        }
+        Err(HarnessError::report(path, body))
+    }
+
+    /// Returns the steps of a model group in which ranks used different expert maps.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer.
+    pub async fn violations(&self, group: &GroupHandle) -> Result<StepViolations> {
+        let body = self.read(group.servers[0], "/admin/violations").await?;
+        serde_json::from_str(&body).map_err(|error| HarnessError::report(&group.name, error))
+    }
+
     /// Returns the position of an agent.
     pub fn agent(&self, name: &str) -> Option<usize> {
         self.agents.iter().position(|agent| agent.name == name)
@@ -180,6 +205,26 @@
         self.folder.path().join(name)
     }
 
+    /// Runs a program to its end and returns what it wrote.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program reports a failure or still runs after `limit`.
+    pub async fn run_program(
+        &self,
+        name: &str,
+        program: PathBuf,
+        arguments: Vec<String>,
+        limit: Duration,
+    ) -> Result<String> {
+        let mut process = self.start_process(name, program, arguments)?;
+        let status = process.wait_exit(limit).await?;
+        if status.success() {
+            return Ok(process.log());
+        }
+        Err(process.failure(format!("ended with {status}")))
+    }
+
     fn start_process(
         &self,
         name: &str,
--- a/crates/testkit/src/harness/process.rs
+++ b/crates/testkit/src/harness/process.rs
@@ -156,8 +156,8 @@
     /// Creates a report about this process, with the end of its log.
     pub(super) fn failure(&self, fault: impl ToString) -> error_stack::Report<HarnessError> {
         let name = format!("{} (process {})", self.spec.name, self.id());
-        HarnessError::report(name, fault.to_string())
-            .attach(format!("end of its log:\n{}", self.log_tail()))
+        let (fault, log) = (fault.to_string(), self.log_tail());
+        HarnessError::report(name, format!("{fault}; end of its log:\n{log}"))
     }
 
     fn log_tail(&self) -> String {
--- a/crates/testkit/src/harness/settings.rs
+++ b/crates/testkit/src/harness/settings.rs
@@ -6,6 +6,9 @@
     std::{net::SocketAddr, path::Path},
 };
 
+/// Sections that only the files of one role have.
+const ROLE_SECTIONS: [&str; 2] = ["agent", "entry"];
+
 /// Identity of a daemon.
 #[derive(Clone, Debug)]
 pub struct InstanceSettings {
@@ -67,7 +70,7 @@
         settings
             .with_section(Some("metrics"))
             .set("address", self.metrics.to_string());
-        // The text form shows an expected process end in a failed test's output.
+        // The text form is the easier one to read in the output of a failed test.
         settings
             .with_section(Some("log"))
             .set("level", "info")
@@ -77,7 +80,11 @@
 
     fn write(&self, mut settings: Ini, file: &Path) -> Result<()> {
         for (section, key, value) in &self.further {
-            settings.set_to(Some(section), key.clone(), value.clone());
+            // A setting of agents must not add a section to an entry's file, nor the reverse.
+            let is_role = ROLE_SECTIONS.contains(&section.as_str());
+            if !is_role || settings.section(Some(section)).is_some() {
+                settings.set_to(Some(section), key.clone(), value.clone());
+            }
         }
         let written = settings.write_to_file(file);
         written.map_err(|error| HarnessError::report(file.display(), error))
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,9 +2,11 @@
 //! measurements. This package is not shipped.
 
 pub mod cases;
+pub mod demo;
 pub mod engine;
 pub mod harness;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod relay;
 pub mod service;
--- /dev/null
+++ b/crates/testkit/src/load/answer.rs
@@ -0,0 +1,130 @@
+//! Check of an answer against the tokens or the booking that were asked for.
+
+use {
+    super::plan::CallBody, crate::engine::token_text, serde::Deserialize, serde_json::Value,
+    std::time::Duration, tokio::time::Instant,
+};
+
+/// Times of a generation.
+#[derive(Clone, Debug, Default)]
+pub struct TokenTimes {
+    /// Time from the start of the attempt to the first token.
+    pub first: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum AnswerLine {
+    Token { index: u64, token: String },
+    End { end: bool, tokens: u64 },
+}
+
+/// Reads the lines of a generation as they arrive.
+#[derive(Debug)]
+pub struct TokenReader<'a> {
+    prompt: &'a str,
+    expected: u64,
+    started: Instant,
+    latest: Instant,
+    partial: Vec<u8>,
+    ended: bool,
+    times: TokenTimes,
+}
+
+impl<'a> TokenReader<'a> {
+    /// Creates a reader of an answer that was asked for at `started`.
+    pub fn new(prompt: &'a str, expected: u64, started: Instant) -> Self {
+        Self {
+            prompt,
+            expected,
+            started,
+            latest: started,
+            partial: Vec::new(),
+            ended: false,
+            times: TokenTimes::default(),
+        }
+    }
+
+    /// Reads a part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what is wrong about the answer.
+    pub fn read(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.partial.extend_from_slice(bytes);
+        while let Some(end) = self.partial.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<_> = self.partial.drain(..=end).collect();
+            self.read_line(&line)?;
+        }
+        Ok(())
+    }
+
+    /// Checks that the answer is whole, after a proper end of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the end line is missing: a truncated answer looks complete.
+    pub fn finish(self) -> Result<TokenTimes, String> {
+        if self.ended && self.partial.is_empty() {
+            return Ok(self.times);
+        }
+        let (tokens, expected) = (self.times.tokens, self.expected);
+        Err(format!("body ends after {tokens} of {expected} tokens"))
+    }
+
+    fn read_line(&mut self, line: &[u8]) -> Result<(), String> {
+        let text = String::from_utf8_lossy(line);
+        let line = serde_json::from_slice(line);
+        match line.map_err(|error| format!("line {text:?}: {error}"))? {
+            _ if self.ended => Err(format!("line {text:?} after the end")),
+            AnswerLine::End { end: true, tokens }
+                if tokens == self.expected && self.times.tokens == tokens =>
+            {
+                self.ended = true;
+                Ok(())
+            }
+            AnswerLine::Token { index, token }
+                if index == self.times.tokens && token == token_text(self.prompt, index) =>
+            {
+                self.record_token();
+                Ok(())
+            }
+            _ => Err(format!("line {text:?} at token {}", self.times.tokens)),
+        }
+    }
+
+    fn record_token(&mut self) {
+        let now = Instant::now();
+        match self.times.first {
+            None => self.times.first = Some(now.duration_since(self.started)),
+            Some(_) => self.times.gaps.push(now.duration_since(self.latest)),
+        }
+        self.latest = now;
+        self.times.tokens += 1;
+    }
+}
+
+/// Checks the answer of a plain service.
+///
+/// # Errors
+///
+/// Fails with what is wrong about the answer.
+pub fn check_plain(call: &CallBody, status: u16, body: &[u8]) -> Result<(), String> {
+    if matches!(call, CallBody::LookUp { .. }) && status == 404 {
+        return Ok(());
+    }
+    let answer: Value = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let matches = match call {
+        CallBody::Book { order, .. } => status == 201 && answer["order"] == order.as_str(),
+        CallBody::LookUp { run } => status == 200 && answer["run"] == *run,
+        CallBody::Generate { .. } => false,
+    };
+    if matches {
+        return Ok(());
+    }
+    Err(format!("answer {status} of another call"))
+}
--- /dev/null
+++ b/crates/testkit/src/load/summary.rs
@@ -0,0 +1,335 @@
+//! Counts and latencies of a run.
+
+use {
+    super::{answer::TokenTimes, plan::PlannedCall},
+    hdrhistogram::Histogram,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        fmt,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Significant digits of the histograms.
+const HISTOGRAM_DIGITS: u8 = 3;
+/// Longest time that a histogram holds, in microseconds: ten minutes.
+const MAX_RECORDED_US: u64 = 600_000_000;
+/// Faults whose text is kept.
+const MAX_KEPT_FAULTS: usize = 10;
+
+/// Final outcome of a call.
+#[derive(Clone, Debug)]
+pub enum CallOutcome {
+    /// Whole and right.
+    Answered(TokenTimes),
+    /// Refused before it ran.
+    NotRun,
+    /// May have run.
+    Unknown,
+    /// The answer's body broke off.
+    Cut,
+    /// Not the answer to this call, or not a proper answer.
+    Wrong(String),
+    /// Neither an answer nor a refusal.
+    Lost(String),
+}
+
+/// How a booking ended, for the comparison with the counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BookingEnd {
+    /// Answered.
+    Answered,
+    /// Refused before it ran.
+    NotRun,
+    /// Anything else.
+    Open,
+}
+
+/// Counts of one team.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TeamCounts {
+    /// Calls.
+    pub requests: u64,
+    /// Calls that were answered.
+    pub answered: u64,
+}
+
+/// Percentiles in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Percentiles {
+    /// Number of values.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95 in 100 values are at most this.
+    pub p95: f64,
+    /// 99 in 100 values are at most this.
+    pub p99: f64,
+    /// Largest value.
+    pub max: f64,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct LoadSummary {
+    /// Calls, without repeats.
+    pub requests: u64,
+    /// Calls with a whole and right answer.
+    pub answered: u64,
+    /// Calls refused before they ran.
+    #[serde(rename = "not-run")]
+    pub not_run: u64,
+    /// Calls that may have run.
+    pub unknown: u64,
+    /// Calls with a wrong answer or a false refusal.
+    pub wrong: u64,
+    /// Calls without an answer or refusal, and answered bookings that did not run.
+    pub lost: u64,
+    /// Bookings that ran more than once.
+    pub doubled: u64,
+    /// Calls whose answer broke off.
+    pub cut: u64,
+    /// Repeats by callers.
+    pub retries: u64,
+    /// Tokens of the answered generations.
+    pub tokens: u64,
+    /// Duration of the run, in seconds.
+    pub elapsed_s: f64,
+    /// Answered calls a second.
+    pub goodput: f64,
+    /// Latency of the answered calls' last attempts.
+    pub latency_ms: Percentiles,
+    /// Time to the first token.
+    pub first_token_ms: Percentiles,
+    /// Time between tokens.
+    pub between_tokens_ms: Percentiles,
+    /// Time to a refusal.
+    pub refusal_ms: Percentiles,
+    /// Counts of each team.
+    pub teams: BTreeMap<String, TeamCounts>,
+    /// First faults.
+    pub faults: Vec<String>,
+}
+
+impl LoadSummary {
+    /// Returns whether nothing was wrong, lost or doubled.
+    pub fn is_clean(&self) -> bool {
+        self.wrong == 0 && self.lost == 0 && self.doubled == 0
+    }
+}
+
+#[derive(Debug)]
+struct RecorderState {
+    summary: LoadSummary,
+    bookings: Vec<(String, BookingEnd)>,
+    latency: Histogram<u64>,
+    first_token: Histogram<u64>,
+    between_tokens: Histogram<u64>,
+    refusal: Histogram<u64>,
+}
+
+/// Collects the outcomes of all callers.
+#[derive(Debug)]
+pub struct LoadRecorder {
+    state: Mutex<RecorderState>,
+}
+
+impl Default for LoadRecorder {
+    fn default() -> Self {
+        let histogram = || {
+            let histogram = Histogram::new_with_max(MAX_RECORDED_US, HISTOGRAM_DIGITS);
+            histogram.expect("the bounds are valid")
+        };
+        let state = RecorderState {
+            summary: LoadSummary::default(),
+            bookings: Vec::new(),
+            latency: histogram(),
+            first_token: histogram(),
+            between_tokens: histogram(),
+            refusal: histogram(),
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+}
+
+fn record(histogram: &mut Histogram<u64>, duration: Duration) {
+    histogram.saturating_record(duration.as_micros().try_into().unwrap_or(u64::MAX));
+}
+
+fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
+    let milliseconds = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Percentiles {
+        count: histogram.len(),
+        p50: milliseconds(0.5),
+        p95: milliseconds(0.95),
+        p99: milliseconds(0.99),
+        max: milliseconds(1.0),
+    }
+}
+
+impl LoadRecorder {
+    fn state(&self) -> MutexGuard<'_, RecorderState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a repeat.
+    pub fn count_retry(&self) {
+        self.state().summary.retries += 1;
+    }
+
+    /// Records the outcome of a call; `elapsed` is that of its last attempt.
+    pub fn record(&self, call: &PlannedCall, outcome: CallOutcome, elapsed: Duration) {
+        let mut state = self.state();
+        state.record_booking(call, &outcome);
+        let team = state.summary.teams.entry(call.team.clone()).or_default();
+        team.requests += 1;
+        team.answered += u64::from(matches!(outcome, CallOutcome::Answered(_)));
+        state.summary.requests += 1;
+        match outcome {
+            CallOutcome::Answered(times) => state.record_answer(&times, elapsed),
+            CallOutcome::Cut => state.summary.cut += 1,
+            CallOutcome::Lost(fault) => state.count_lost(format!("{}: {fault}", call.service)),
+            CallOutcome::NotRun => {
+                state.summary.not_run += 1;
+                record(&mut state.refusal, elapsed);
+            }
+            CallOutcome::Unknown => state.summary.unknown += 1,
+            CallOutcome::Wrong(fault) => state.count_wrong(format!("{}: {fault}", call.service)),
+        }
+    }
+
+    /// Compares the bookings with the runs of each order.
+    pub fn compare(&self, runs: &BTreeMap<String, u64>) {
+        let mut state = self.state();
+        for (order, end) in std::mem::take(&mut state.bookings) {
+            let count = runs.get(&order).copied().unwrap_or(0);
+            if count > 1 {
+                state.summary.doubled += 1;
+                state.keep_fault(format!("order {order} ran {count} times"));
+            }
+            match (end, count) {
+                (BookingEnd::Answered, 0) => {
+                    state.summary.answered -= 1;
+                    state.count_lost(format!("order {order} was answered and did not run"));
+                }
+                (BookingEnd::NotRun, 1..) => {
+                    state.summary.not_run -= 1;
+                    state.count_wrong(format!("order {order} was refused as not-run and ran"));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Counts a wrong result that belongs to no call.
+    pub fn add_wrong(&self, fault: String) {
+        self.state().count_wrong(fault);
+    }
+
+    /// Returns the result of the run.
+    pub fn summarize(&self, elapsed: Duration) -> LoadSummary {
+        let state = self.state();
+        let elapsed_s = elapsed.as_secs_f64();
+        LoadSummary {
+            elapsed_s,
+            goodput: state.summary.answered as f64 / elapsed_s,
+            latency_ms: percentiles(&state.latency),
+            first_token_ms: percentiles(&state.first_token),
+            between_tokens_ms: percentiles(&state.between_tokens),
+            refusal_ms: percentiles(&state.refusal),
+            ..state.summary.clone()
+        }
+    }
+}
+
+impl RecorderState {
+    fn record_booking(&mut self, call: &PlannedCall, outcome: &CallOutcome) {
+        let Some(order) = call.order() else {
+            return;
+        };
+        let end = match outcome {
+            CallOutcome::Answered(_) => BookingEnd::Answered,
+            CallOutcome::NotRun => BookingEnd::NotRun,
+            _ => BookingEnd::Open,
+        };
+        self.bookings.push((order.to_owned(), end));
+    }
+
+    fn record_answer(&mut self, times: &TokenTimes, elapsed: Duration) {
+        self.summary.answered += 1;
+        self.summary.tokens += times.tokens;
+        record(&mut self.latency, elapsed);
+        if let Some(first) = times.first {
+            record(&mut self.first_token, first);
+        }
+        for gap in &times.gaps {
+            record(&mut self.between_tokens, *gap);
+        }
+    }
+
+    fn count_lost(&mut self, fault: String) {
+        self.summary.lost += 1;
+        self.keep_fault(fault);
+    }
+
+    fn count_wrong(&mut self, fault: String) {
+        self.summary.wrong += 1;
+        self.keep_fault(fault);
+    }
+
+    fn keep_fault(&mut self, fault: String) {
+        if self.summary.faults.len() < MAX_KEPT_FAULTS {
+            self.summary.faults.push(fault);
+        }
+    }
+}
+
+impl fmt::Display for Percentiles {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            count,
+            p50,
+            p95,
+            p99,
+            max,
+        } = self;
+        write!(
+            formatter,
+            "p50 {p50:.1} ms, p95 {p95:.1} ms, p99 {p99:.1} ms, max {max:.1} ms ({count})"
+        )
+    }
+}
+
+impl fmt::Display for LoadSummary {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "requests {}, answered {}, not-run {}, unknown {}, wrong {}, lost {}, doubled {}, cut {}",
+            self.requests,
+            self.answered,
+            self.not_run,
+            self.unknown,
+            self.wrong,
+            self.lost,
+            self.doubled,
+            self.cut
+        )?;
+        writeln!(
+            formatter,
+            "retries {}, tokens {}, {:.1} s, goodput {:.1}/s",
+            self.retries, self.tokens, self.elapsed_s, self.goodput
+        )?;
+        writeln!(formatter, "latency: {}", self.latency_ms)?;
+        writeln!(formatter, "first token: {}", self.first_token_ms)?;
+        writeln!(formatter, "between tokens: {}", self.between_tokens_ms)?;
+        write!(formatter, "refusals: {}", self.refusal_ms)?;
+        for fault in &self.faults {
+            write!(formatter, "\nfault: {fault}")?;
+        }
+        Ok(())
+    }
+}
