Add the agent: admission, back end, claims and links

Cause: the daemon's agent role had no code. Change: core gets the claim machines, which interpret charts/claim.ini (an agent's attempt) and charts/claim_settlement.ini (an entry's settlement), and the types of the claim record. The daemon gets the agent: links, admission, model streams, pass-through of plain calls, claimed calls with grouped inserts, sweeper, health check, membership, drain and metrics. LinkConnection::finish flushes a link before the process ends. Six events are added for claims and ended dispatches. Claims are not tested yet.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -58,6 +58,7 @@
     2010 CallerGone Info "caller closed the connection";
     2011 DispatchReceived Info "dispatch received";
     2012 DispatchDeclined Info "dispatch refused by the agent";
+    2013 DispatchEnded Info "dispatch ended at the agent";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
@@ -82,6 +83,11 @@
     6004 TombstoneInserted Info "tombstone inserted; the call was not run";
     6005 AnswerReplayed Info "stored answer sent again";
     6006 ClaimsSwept Info "expired claim records deleted";
+    6007 ClaimWithdrawn Info "start record deleted; the call was not run";
+    6008 ClaimRefused Info "claim refused; this attempt did not run the call";
+    6009 ClaimUnknown Warn "outcome of a claimed call is unknown";
+    6010 ClaimReadBack Warn "answer of a table write was lost; the record is read back";
+    6011 ClaimStoreFailed Warn "done record could not be written yet";
     7001 InstanceJoined Info "instance joined";
     7002 InstanceLeft Info "instance left";
     7003 TargetDraining Info "target takes no new work";
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! tests and measurements can drive it without a network.
 
 pub mod chart;
+pub mod claim;
 pub mod configuration;
 pub mod events;
 pub mod explanation;
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -1,6 +1,191 @@
 //! Agent: guards one target.
 
-use crate::{Result, options::DaemonOptions};
+pub mod admission;
+pub mod answers;
+pub mod backend;
+pub mod calls;
+pub mod claims;
+pub mod clock;
+pub mod health;
+pub mod membership;
+pub mod metrics;
+pub mod order_handler;
+pub mod reports;
+pub mod server;
+
+use {
+    crate::{
+        DaemonError, Result,
+        constants::LINK_CLOSE_TIMEOUT,
+        lifecycle::Daemon,
+        options::{AgentOptions, DaemonOptions, InstanceOptions, agent::TargetKind},
+        platform::{HttpPlatform, InstanceList, ObjectStore, TableService},
+        telemetry::{
+            HealthState,
+            metrics::{self as metrics_server, MetricsRegistry},
+        },
+    },
+    admission::{Admission, DrainReason},
+    backend::Backend,
+    claims::{ClaimService, sweeper},
+    clock::AgentClock,
+    error_stack::{Report, ResultExt},
+    metrics::AgentMetrics,
+    order_handler::{NoOrders, OrderHandler},
+    sassafrasslip_core::configuration::ConfigurationSnapshot,
+    sassafrasslip_proto::{
+        PROTOCOL_VERSION,
+        link::{Hello, ProcessRole, ServiceFacts, ServiceKind},
+    },
+    std::{error::Error, fmt, net::SocketAddr, sync::Arc},
+    tokio::{net::TcpListener, sync::watch, time::timeout},
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// The address of a setting cannot be bound.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListenError {
+    /// Address of the setting `[agent] link_address`.
+    pub address: SocketAddr,
+    /// Reason given by the system.
+    pub fault: String,
+}
+
+impl fmt::Display for ListenError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "[agent] link_address = {}: {}",
+            self.address, self.fault
+        )
+    }
+}
+
+impl Error for ListenError {}
+
+/// What an agent needs from its surroundings.
+pub struct AgentParts {
+    /// Section `agent`.
+    pub options: AgentOptions,
+    /// Section `instance`.
+    pub instance: InstanceOptions,
+    /// Table service.
+    pub table: Arc<dyn TableService>,
+    /// Object store.
+    pub objects: Arc<dyn ObjectStore>,
+    /// Handler of orders on expert maps.
+    pub orders: Arc<dyn OrderHandler>,
+    /// Registry of metrics.
+    pub registry: MetricsRegistry,
+    /// Work that a graceful stop waits for.
+    pub work: TaskTracker,
+}
+
+/// State that the parts of an agent share.
+pub struct AgentContext {
+    pub(crate) options: AgentOptions,
+    pub(crate) instance: InstanceOptions,
+    incarnation: u64,
+    /// Admission of dispatches.
+    pub admission: Admission,
+    pub(crate) backend: Backend,
+    /// Claims of non-idempotent calls.
+    pub claims: Arc<ClaimService>,
+    pub(crate) clock: AgentClock,
+    /// Newest configuration that an entry has sent.
+    pub configuration: watch::Sender<Arc<ConfigurationSnapshot>>,
+    pub(crate) orders: Arc<dyn OrderHandler>,
+    /// Metrics.
+    pub metrics: AgentMetrics,
+    pub(crate) work: TaskTracker,
+    links: TaskTracker,
+    /// Cancelled when all work is done and the links are to be closed.
+    finished: CancellationToken,
+}
+
+impl AgentContext {
+    /// Creates the context of an agent. Call it within a runtime.
+    pub fn new(parts: AgentParts) -> Arc<Self> {
+        let metrics = AgentMetrics::new(&parts.registry);
+        let incarnation = rand::random();
+        let clock = AgentClock::default();
+        let claims = ClaimService::new(
+            parts.table,
+            parts.objects,
+            clock.clone(),
+            incarnation,
+            metrics.clone(),
+        );
+        let concurrency = parts.options.concurrency;
+        Arc::new(Self {
+            admission: Admission::new(concurrency, metrics.clone(), parts.work.clone()),
+            backend: Backend::new(parts.options.target_address),
+            options: parts.options,
+            instance: parts.instance,
+            incarnation,
+            claims: Arc::new(claims),
+            clock,
+            configuration: watch::channel(Arc::default()).0,
+            orders: parts.orders,
+            metrics,
+            work: parts.work,
+            links: TaskTracker::new(),
+            finished: CancellationToken::new(),
+        })
+    }
+
+    /// Checks the target once, then starts all background work and accepts links.
+    pub async fn start(self: &Arc<Self>, listener: TcpListener, instances: Arc<dyn InstanceList>) {
+        health::check(&self.backend, &self.admission).await;
+        tokio::spawn(self.clock.clone().run());
+        tokio::spawn(health::run(self.backend, self.admission.clone()));
+        let name = self.instance.name.clone();
+        tokio::spawn(membership::run(instances, self.admission.clone(), name));
+        if self.options.kind == TargetKind::Plain {
+            let service = self.options.service.clone();
+            tokio::spawn(sweeper::run(self.claims.clone(), service));
+        }
+        tokio::spawn(server::run(self.clone(), listener));
+    }
+
+    /// Closes the links after what is queued on them was sent. Call it when all work is done.
+    pub async fn close_links(&self) {
+        self.finished.cancel();
+        self.links.close();
+        let _ = timeout(LINK_CLOSE_TIMEOUT, self.links.wait()).await;
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            protocol_version: PROTOCOL_VERSION,
+            instance: self.instance.name.to_string(),
+            incarnation: self.incarnation,
+            availability_zone: self.instance.availability_zone.to_string(),
+            region: self.instance.region.to_string(),
+            role: ProcessRole::Agent.into(),
+            configuration_revision: self.admission.revision(),
+            service: Some(self.service_facts()),
+        }
+    }
+
+    fn service_facts(&self) -> ServiceFacts {
+        let options = &self.options;
+        let kind = match options.kind {
+            TargetKind::Model => ServiceKind::Model,
+            TargetKind::Plain => ServiceKind::Plain,
+        };
+        let group = options.group.as_ref();
+        ServiceFacts {
+            service: options.service.to_string(),
+            kind: kind.into(),
+            group: group.map(ToString::to_string).unwrap_or_default(),
+            first_rank: options.first_rank,
+            ranks: options.ranks,
+            concurrency: options.concurrency,
+            idempotent_methods: options.idempotent_methods.clone(),
+        }
+    }
+}
 
 /// Runs an agent until it is stopped.
 ///
@@ -8,6 +193,51 @@
 ///
 /// Fails if an address cannot be bound.
 pub async fn serve(options: DaemonOptions) -> Result<()> {
-    let _ = options;
+    serve_with(options, Arc::new(NoOrders)).await
+}
+
+/// Runs an agent with a handler of orders on expert maps until it is stopped.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn serve_with(options: DaemonOptions, orders: Arc<dyn OrderHandler>) -> Result<()> {
+    let Some(agent_options) = options.agent else {
+        return Err(Report::new(DaemonError::ReadSettings));
+    };
+    let health = HealthState::default();
+    let daemon = Daemon::new(options.stop, health.clone());
+    let listener = bind(agent_options.link_address).await?;
+    let registry = MetricsRegistry::default();
+    metrics_server::serve(options.metrics.address, registry.clone(), health)
+        .await
+        .change_context(DaemonError::Listen)?;
+    let platform = Arc::new(HttpPlatform::new(options.platform));
+    let agent = AgentContext::new(AgentParts {
+        options: agent_options,
+        instance: options.instance,
+        table: platform.clone(),
+        objects: platform.clone(),
+        orders,
+        registry,
+        work: daemon.work(),
+    });
+    agent.start(listener, platform).await;
+    let draining = daemon.serve().wait_for_stop().await;
+    let draining = draining.change_context(DaemonError::Serve)?;
+    // Set before the wait for work begins, so that no dispatch is admitted after its end.
+    agent.admission.set_draining(DrainReason::Stop, true);
+    draining.finish().await;
+    agent.close_links().await;
     Ok(())
 }
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound
+        .map_err(|error| {
+            let fault = error.to_string();
+            Report::new(ListenError { address, fault })
+        })
+        .change_context(DaemonError::Listen)
+}
--- /dev/null
+++ b/crates/daemon/src/agent/admission.rs
@@ -0,0 +1,284 @@
+//! Admission: the exact number of requests in flight, and what the agent refuses.
+
+use {
+    super::metrics::AgentMetrics,
+    sassafrasslip_core::{
+        configuration::Revision,
+        events::LogEvent::{TargetDraining, TargetUnhealthy},
+        ids::RequestId,
+        log_event,
+    },
+    sassafrasslip_proto::link::{RefusalReason, TargetLoad},
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    tokio::{sync::watch, time::Instant},
+    tokio_util::{
+        sync::CancellationToken,
+        task::{TaskTracker, task_tracker::TaskTrackerToken},
+    },
+};
+
+/// Why an agent drains. It drains while at least one reason holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DrainReason {
+    /// The instance list says that the instance is leaving.
+    Listed,
+    /// An operator asked for it.
+    Operator,
+    /// The process got SIGTERM.
+    Stop,
+}
+
+/// Dispatch that asks for admission.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionRequest {
+    /// Request.
+    pub request_id: RequestId,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Configuration revision by which the entry decided.
+    pub revision: Revision,
+    /// Limit on requests in flight that the entry resolved; 0 if it sent none.
+    pub target_concurrency: u32,
+    /// Deadline.
+    pub deadline: Instant,
+}
+
+/// Why a dispatch was not admitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionError {
+    /// The same attempt is running; the frame is dropped without a reply.
+    Duplicate,
+    /// The dispatch is refused.
+    Refused(RefusalReason),
+}
+
+#[derive(Debug, Default)]
+struct AdmissionState {
+    running: HashMap<(RequestId, u32), CancellationToken>,
+    revision: Revision,
+    listed: bool,
+    operator: bool,
+    stop: bool,
+    healthy: bool,
+}
+
+/// Admission of one target. Clones share the state.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    shared: Arc<AdmissionShared>,
+}
+
+#[derive(Debug)]
+struct AdmissionShared {
+    state: Mutex<AdmissionState>,
+    concurrency: u32,
+    metrics: AgentMetrics,
+    work: TaskTracker,
+    changes: watch::Sender<u64>,
+}
+
+/// Slot of one request in flight; dropping it frees the slot.
+#[derive(Debug)]
+pub struct AdmissionPermit {
+    admission: Admission,
+    key: (RequestId, u32),
+    cancelled: CancellationToken,
+    _work: TaskTrackerToken,
+}
+
+impl AdmissionPermit {
+    /// Returns the token that is cancelled when the entry no longer wants the answer.
+    pub fn cancelled(&self) -> &CancellationToken {
+        &self.cancelled
+    }
+}
+
+impl Drop for AdmissionPermit {
+    fn drop(&mut self) {
+        let mut state = self.admission.state();
+        state.running.remove(&self.key);
+        let in_flight = state.in_flight();
+        self.admission.shared.metrics.set_in_flight(in_flight);
+    }
+}
+
+impl AdmissionState {
+    fn in_flight(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    fn draining(&self) -> bool {
+        self.listed || self.operator || self.stop
+    }
+
+    fn refusal(
+        &self,
+        request: &AdmissionRequest,
+        limit: u32,
+        now: Instant,
+    ) -> Option<RefusalReason> {
+        if self.draining() {
+            return Some(RefusalReason::Draining);
+        }
+        if request.revision < self.revision {
+            return Some(RefusalReason::StaleRevision);
+        }
+        if now >= request.deadline {
+            return Some(RefusalReason::Deadline);
+        }
+        if !self.healthy {
+            return Some(RefusalReason::TargetDown);
+        }
+        (self.in_flight() >= limit).then_some(RefusalReason::Full)
+    }
+}
+
+impl Admission {
+    /// Creates the admission of a target, which counts as unhealthy until its first check.
+    pub fn new(concurrency: u32, metrics: AgentMetrics, work: TaskTracker) -> Self {
+        let shared = AdmissionShared {
+            state: Mutex::default(),
+            concurrency,
+            metrics,
+            work,
+            changes: watch::channel(0).0,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, AdmissionState> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Admits a dispatch or refuses it. `link_closed` cancels the dispatch too.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason of the refusal, or if the attempt is running already.
+    pub fn admit(
+        &self,
+        request: &AdmissionRequest,
+        now: Instant,
+        link_closed: &CancellationToken,
+    ) -> Result<AdmissionPermit, AdmissionError> {
+        // Taken before the drain flag is read: a graceful stop sets the flag first and then
+        // waits for the tracker, so it either sees this token or this dispatch is refused.
+        let work = self.shared.work.token();
+        let key = (request.request_id, request.attempt);
+        let mut state = self.state();
+        if state.running.contains_key(&key) {
+            return Err(AdmissionError::Duplicate);
+        }
+        let limit = match request.target_concurrency {
+            0 => self.shared.concurrency,
+            decided => decided.min(self.shared.concurrency),
+        };
+        if let Some(reason) = state.refusal(request, limit, now) {
+            return Err(AdmissionError::Refused(reason));
+        }
+        let cancelled = link_closed.child_token();
+        state.running.insert(key, cancelled.clone());
+        self.shared.metrics.set_in_flight(state.in_flight());
+        drop(state);
+        self.see_revision(request.revision);
+        Ok(AdmissionPermit {
+            admission: self.clone(),
+            key,
+            cancelled,
+            _work: work,
+        })
+    }
+
+    /// Cancels all attempts of a request.
+    pub fn cancel(&self, request_id: RequestId) {
+        let state = self.state();
+        let running = state.running.iter();
+        running
+            .filter(|((id, _), _)| *id == request_id)
+            .for_each(|(_, token)| token.cancel());
+    }
+
+    /// Raises the highest configuration revision that the agent has seen; returns whether it was
+    /// raised.
+    pub fn see_revision(&self, revision: Revision) -> bool {
+        let mut state = self.state();
+        let raised = revision > state.revision;
+        state.revision = state.revision.max(revision);
+        drop(state);
+        if raised {
+            self.notify();
+        }
+        raised
+    }
+
+    /// Returns the highest configuration revision that the agent has seen.
+    pub fn revision(&self) -> Revision {
+        self.state().revision
+    }
+
+    /// Sets or clears a reason to drain.
+    pub fn set_draining(&self, reason: DrainReason, draining: bool) {
+        let mut state = self.state();
+        let flag = match reason {
+            DrainReason::Listed => &mut state.listed,
+            DrainReason::Operator => &mut state.operator,
+            DrainReason::Stop => &mut state.stop,
+        };
+        if std::mem::replace(flag, draining) == draining {
+            return;
+        }
+        let in_flight = state.in_flight();
+        drop(state);
+        log_event!(
+            TargetDraining,
+            reason = format!("{reason:?}"),
+            draining = draining,
+            in_flight = in_flight
+        );
+        self.notify();
+    }
+
+    /// Sets the result of the target's health check.
+    pub fn set_healthy(&self, healthy: bool, cause: &str) {
+        let mut state = self.state();
+        if std::mem::replace(&mut state.healthy, healthy) == healthy {
+            return;
+        }
+        drop(state);
+        if !healthy {
+            log_event!(TargetUnhealthy, cause = cause);
+        }
+        self.notify();
+    }
+
+    /// Returns whether the target passed its last health check.
+    pub fn is_healthy(&self) -> bool {
+        self.state().healthy
+    }
+
+    /// Returns the current load.
+    pub fn load(&self) -> TargetLoad {
+        let state = self.state();
+        TargetLoad {
+            in_flight: state.in_flight(),
+            concurrency: self.shared.concurrency,
+            draining: state.draining(),
+        }
+    }
+
+    /// Returns a receiver that changes with the drain flag, the health and the revision. The
+    /// number in flight is left out: every final reply carries it to the entry concerned.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.shared.changes.subscribe()
+    }
+
+    fn notify(&self) {
+        self.shared.changes.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/backend/tokens.rs
@@ -0,0 +1,172 @@
+//! Lines of a model engine's answer, checked for gaps.
+
+use {
+    bytes::{Bytes, BytesMut},
+    error_stack::Report,
+    serde::Deserialize,
+    std::{error::Error, fmt, result},
+};
+
+/// Result of reading lines.
+pub type Result<T> = result::Result<T, Report<TokenError>>;
+
+/// Longest line that is accepted, in bytes.
+const MAX_LINE_BYTES: usize = 64 * 1024;
+
+/// Fault in an engine's stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TokenError {
+    /// A line is not what the engine's interface says.
+    Malformed(String),
+    /// A token is missing or repeated.
+    Gap {
+        /// Index that should have come.
+        expected: u64,
+        /// Index that came.
+        found: u64,
+    },
+    /// The stream ended without its end line.
+    NoEnd,
+}
+
+impl fmt::Display for TokenError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Gap { expected, found } => {
+                write!(formatter, "token {found} came instead of token {expected}")
+            }
+            Self::Malformed(fault) => write!(formatter, "malformed line: {fault}"),
+            Self::NoEnd => formatter.write_str("stream ended without its end line"),
+        }
+    }
+}
+
+impl Error for TokenError {}
+
+#[derive(Debug, Deserialize)]
+struct TokenLine {
+    index: Option<u64>,
+    #[serde(default)]
+    end: bool,
+    tokens: Option<u64>,
+}
+
+/// Whole lines that were available at once.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TokenBurst {
+    /// Index of the first token; for a burst of the end line alone, the index after the last one.
+    pub first_index: u64,
+    /// The lines.
+    pub payload: Bytes,
+}
+
+/// Splits an engine's answer into bursts of whole lines.
+#[derive(Debug)]
+pub struct TokenLines {
+    buffer: BytesMut,
+    first_index: u64,
+    next_index: u64,
+    ended: bool,
+}
+
+impl TokenLines {
+    /// Creates a reader for a stream that starts at a token index.
+    pub fn new(first_index: u64) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            first_index,
+            next_index: first_index,
+            ended: false,
+        }
+    }
+
+    /// Adds a part of the stream.
+    pub fn push(&mut self, part: &[u8]) {
+        self.buffer.extend_from_slice(part);
+    }
+
+    /// Returns whether the end line has come.
+    pub fn has_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Takes the whole lines that are available.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a gap, on a malformed line and on data behind the end line.
+    pub fn take(&mut self) -> Result<Option<TokenBurst>> {
+        let Some(last) = self.buffer.iter().rposition(|byte| *byte == b'\n') else {
+            return self.check_partial_line();
+        };
+        let payload = self.buffer.split_to(last + 1).freeze();
+        let first_index = self.next_index;
+        for line in payload.split(|byte| *byte == b'\n') {
+            if !line.is_empty() {
+                self.check_line(line)?;
+            }
+        }
+        Ok(Some(TokenBurst {
+            first_index,
+            payload,
+        }))
+    }
+
+    /// Checks that the stream has ended in good order.
+    ///
+    /// # Errors
+    ///
+    /// Fails without an end line.
+    pub fn finish(&self) -> Result<()> {
+        if self.ended && self.buffer.is_empty() {
+            return Ok(());
+        }
+        Err(Report::new(TokenError::NoEnd))
+    }
+
+    fn check_partial_line(&self) -> Result<Option<TokenBurst>> {
+        if self.buffer.len() > MAX_LINE_BYTES {
+            return Err(malformed("line is too long"));
+        }
+        Ok(None)
+    }
+
+    fn check_line(&mut self, line: &[u8]) -> Result<()> {
+        if self.ended {
+            return Err(malformed("line behind the end line"));
+        }
+        let line: TokenLine = serde_json::from_slice(line).map_err(malformed)?;
+        if line.end {
+            return self.check_end(line.tokens);
+        }
+        let expected = self.next_index;
+        match line.index {
+            Some(found) if found == expected => {
+                self.next_index += 1;
+                Ok(())
+            }
+            Some(found) => Err(Report::new(TokenError::Gap { expected, found })),
+            None => Err(malformed("line has no index")),
+        }
+    }
+
+    /// The engine's interface leaves open whether the end line of a resumed stream counts all
+    /// tokens or only those since the resume, so both are accepted.
+    fn check_end(&mut self, tokens: Option<u64>) -> Result<()> {
+        let sent = self.next_index - self.first_index;
+        match tokens {
+            Some(tokens) if tokens != self.next_index && tokens != sent => {
+                let (expected, found) = (tokens, self.next_index);
+                Err(Report::new(TokenError::Gap { expected, found }))
+            }
+            _ => {
+                self.ended = true;
+                Ok(())
+            }
+        }
+    }
+}
+
+fn malformed(fault: impl ToString) -> Report<TokenError> {
+    Report::new(TokenError::Malformed(fault.to_string()))
+}
--- /dev/null
+++ b/crates/daemon/src/agent/claims/run.rs
@@ -0,0 +1,380 @@
+//! One claim: carries out the actions of the machine of `core::claim`.
+
+use {
+    super::{
+        ClaimCall, ClaimService,
+        inserts::{InsertRecord, InsertResult},
+        store::{WholeAnswer, load_answer, store_answer},
+    },
+    crate::{
+        agent::backend::{BackendAnswer, BackendConnection, BackendStep, headers::answer_headers},
+        constants::{
+            CLAIM_READ_PAUSE, CLAIM_RETENTION, CLAIM_STORE_PAUSE, CLAIMED_CALL_LIMIT,
+            MAX_CLAIMED_ANSWER_BYTES,
+        },
+        platform::{TableCondition, TableItem, TableOutcome, TableTransaction, TableWrite},
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::Request,
+    sassafrasslip_core::{
+        claim::{AttemptAction, AttemptInput, ClaimAttempt, ClaimRecord, ClaimState, StoredAnswer},
+        events::LogEvent::{
+            AnswerReplayed, ClaimDone, ClaimInserted, ClaimLost, ClaimReadBack, ClaimRefused,
+            ClaimStoreFailed, ClaimUnknown, ClaimWithdrawn,
+        },
+        log_event,
+    },
+    sassafrasslip_proto::link::RefusalReason,
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Outcome of a claimed call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClaimOutcome {
+    /// The answer, and whether it was replayed from the record.
+    Answer(WholeAnswer, bool),
+    /// This attempt did not run the call.
+    Refused(RefusalReason),
+    /// The call may have run.
+    Unknown(String),
+}
+
+/// Connection and request that are ready to be handed over.
+pub type PreparedCall = (BackendConnection, Request<Full<Bytes>>);
+
+/// Claim in progress.
+pub struct ClaimRun<'a> {
+    service: &'a ClaimService,
+    call: ClaimCall,
+    attempt: ClaimAttempt,
+    cancelled: CancellationToken,
+    prepared: Option<PreparedCall>,
+    record: Option<ClaimRecord>,
+    version: u64,
+    found: Option<ClaimRecord>,
+    answer: Option<WholeAnswer>,
+    stored: Option<StoredAnswer>,
+    fault: String,
+}
+
+impl<'a> ClaimRun<'a> {
+    /// Creates a claim that is not started.
+    pub fn new(
+        service: &'a ClaimService,
+        call: ClaimCall,
+        prepared: PreparedCall,
+        cancelled: CancellationToken,
+    ) -> Self {
+        Self {
+            service,
+            attempt: ClaimAttempt::new(call.nonce, call.body_hash, call.deadline),
+            call,
+            cancelled,
+            prepared: Some(prepared),
+            record: None,
+            version: 0,
+            found: None,
+            answer: None,
+            stored: None,
+            fault: String::new(),
+        }
+    }
+
+    /// Runs the claim until its outcome is known.
+    pub async fn decide(&mut self) -> ClaimOutcome {
+        let mut action = self.handle(AttemptInput::Start);
+        loop {
+            action = match action {
+                Some(AttemptAction::Insert) => self.insert().await,
+                Some(AttemptAction::Read) => self.read().await,
+                Some(AttemptAction::Forward) => self.forward().await,
+                Some(AttemptAction::Store) => self.store().await,
+                Some(action) => return self.conclude(action).await,
+                None => return self.unknown("the claim chart ignored an event"),
+            };
+        }
+    }
+
+    /// Goes on writing the done record if that failed before the outcome was reported.
+    pub async fn finish(mut self) {
+        while self.attempt.is_forwarded() {
+            sleep(CLAIM_STORE_PAUSE).await;
+            if self.handle(AttemptInput::Retry) == Some(AttemptAction::Store) {
+                self.store().await;
+            }
+        }
+    }
+
+    fn handle(&mut self, input: AttemptInput<'_>) -> Option<AttemptAction> {
+        if self.cancelled.is_cancelled() {
+            self.attempt.cancel();
+        }
+        self.attempt.handle(input, self.service.clock.now())
+    }
+
+    fn handle_found(&mut self, item: TableItem) -> Option<AttemptAction> {
+        self.version = item.version;
+        let Some(value) = item.value else {
+            return self.handle(AttemptInput::Found(None));
+        };
+        let Ok(record) = ClaimRecord::decode(&value) else {
+            return self.handle(AttemptInput::Malformed);
+        };
+        let action = self.handle(AttemptInput::Found(Some(&record)));
+        self.found = Some(record);
+        action
+    }
+
+    async fn insert(&mut self) -> Option<AttemptAction> {
+        let Some(value) = self.start_record().await else {
+            return self.handle(AttemptInput::TableDown);
+        };
+        let (reply, result) = oneshot::channel();
+        let key = self.call.scope.table_key();
+        let insert = InsertRecord { key, value, reply };
+        let _ = self.service.inserts.tell(insert).await;
+        match result.await.unwrap_or(InsertResult::AnswerLost) {
+            InsertResult::Inserted { version, time_ms } => {
+                self.service.table_time.note(time_ms);
+                self.version = version;
+                let action = self.handle(AttemptInput::Inserted);
+                log_event!(ClaimInserted, request_id = self.call.request_id);
+                action
+            }
+            InsertResult::Found(item) => self.handle_found(item),
+            InsertResult::AnswerLost => {
+                log_event!(ClaimReadBack, request_id = self.call.request_id);
+                self.handle(AttemptInput::AnswerLost)
+            }
+            InsertResult::TableDown => self.handle(AttemptInput::TableDown),
+        }
+    }
+
+    /// Encodes the start record; `None` if the table's time cannot be read.
+    async fn start_record(&mut self) -> Option<String> {
+        let created_ms = self.service.table_now(&self.call.scope.table_key()).await?;
+        let retention_ms = u64::try_from(CLAIM_RETENTION.as_millis()).unwrap_or(u64::MAX);
+        let record = ClaimRecord {
+            state: ClaimState::Started,
+            body_hash: self.call.body_hash,
+            nonce: self.call.nonce,
+            incarnation: self.service.incarnation,
+            request_id: self.call.request_id,
+            created_ms,
+            retention_ms,
+        };
+        let value = record.encode().ok();
+        self.record = Some(record);
+        value
+    }
+
+    async fn read(&mut self) -> Option<AttemptAction> {
+        let key = self.call.scope.table_key();
+        match self.service.table.read(&key).await {
+            Ok(read) => {
+                self.service.table_time.note(read.time_ms);
+                self.handle_found(read.item)
+            }
+            Err(_) => {
+                sleep(CLAIM_READ_PAUSE).await;
+                self.handle(AttemptInput::AnswerLost)
+            }
+        }
+    }
+
+    async fn forward(&mut self) -> Option<AttemptAction> {
+        let Some((connection, request)) = self.prepared.take() else {
+            return self.handle(AttemptInput::NotSent);
+        };
+        let started = self.service.clock.now();
+        let exchange = async {
+            let answer = connection.send(request).await?;
+            read_whole(answer).await
+        };
+        let result = timeout(CLAIMED_CALL_LIMIT, exchange).await;
+        let duration = self.service.clock.now() - started;
+        self.service.metrics.observe_backend(duration);
+        match result {
+            Ok(Ok(answer)) => {
+                self.answer = Some(answer);
+                self.handle(AttemptInput::Answered)
+            }
+            Ok(Err(report)) => {
+                let error = report.current_context();
+                self.fault = error.to_string();
+                let not_sent = error.step == BackendStep::Connect;
+                self.handle(if not_sent {
+                    AttemptInput::NotSent
+                } else {
+                    AttemptInput::NoAnswer
+                })
+            }
+            Err(_) => {
+                "target did not answer in time".clone_into(&mut self.fault);
+                self.handle(AttemptInput::NoAnswer)
+            }
+        }
+    }
+
+    async fn store(&mut self) -> Option<AttemptAction> {
+        let Some(record) = self.done_record().await else {
+            return self.handle(AttemptInput::StoreFailed);
+        };
+        let Ok(value) = record.encode() else {
+            return self.handle(AttemptInput::StoreFailed);
+        };
+        if self.replace_record(Some(value)).await {
+            log_event!(ClaimDone, request_id = self.call.request_id);
+            return self.handle(AttemptInput::Stored);
+        }
+        log_event!(ClaimStoreFailed, request_id = self.call.request_id);
+        self.handle(AttemptInput::StoreFailed)
+    }
+
+    async fn done_record(&mut self) -> Option<ClaimRecord> {
+        let record = self.record.clone()?;
+        let answer = match self.stored.take() {
+            Some(stored) => stored,
+            None => {
+                let key = self.call.scope.object_key(self.call.nonce);
+                store_answer(self.service.objects.as_ref(), key, self.answer.as_ref()?).await
+            }
+        };
+        self.stored = Some(answer.clone());
+        Some(record.with_state(ClaimState::Done { answer }))
+    }
+
+    /// Writes or deletes the record if it is still this attempt's own start record. Returns
+    /// whether the write has taken effect, now or in an earlier try whose answer was lost.
+    async fn replace_record(&self, value: Option<String>) -> bool {
+        let key = self.call.scope.table_key();
+        let condition = TableCondition {
+            key: key.clone(),
+            version: self.version,
+        };
+        let transaction = TableTransaction {
+            conditions: vec![condition],
+            writes: vec![TableWrite {
+                key,
+                value: value.clone(),
+            }],
+        };
+        match self.service.table.transact(transaction).await {
+            Ok(TableOutcome::Committed { time_ms, .. }) => {
+                self.service.table_time.note(time_ms);
+                true
+            }
+            Ok(TableOutcome::Conflict { conflicts, .. }) => {
+                conflicts.first().is_some_and(|item| item.value == value)
+            }
+            Err(_) => false,
+        }
+    }
+
+    async fn conclude(&mut self, action: AttemptAction) -> ClaimOutcome {
+        let outcome = match action {
+            AttemptAction::ReportAnswer => match self.answer.clone() {
+                Some(answer) => ClaimOutcome::Answer(answer, false),
+                None => return self.unknown("the answer is missing"),
+            },
+            AttemptAction::Replay => self.replay().await,
+            AttemptAction::ReportUnknown => {
+                let fault = std::mem::take(&mut self.fault);
+                return self.unknown(&fault);
+            }
+            AttemptAction::WithdrawLate => self.withdraw(RefusalReason::Deadline).await,
+            AttemptAction::WithdrawUnsent => self.withdraw(RefusalReason::TargetDown).await,
+            AttemptAction::RefuseInUse => ClaimOutcome::Refused(RefusalReason::KeyInUse),
+            AttemptAction::RefuseReused => ClaimOutcome::Refused(RefusalReason::KeyReused),
+            AttemptAction::RefuseTombstone => ClaimOutcome::Refused(RefusalReason::Tombstone),
+            AttemptAction::RefuseTableDown => ClaimOutcome::Refused(RefusalReason::TableDown),
+            AttemptAction::CheckDeadline
+            | AttemptAction::Forward
+            | AttemptAction::Insert
+            | AttemptAction::Read
+            | AttemptAction::Store => return self.unknown("the claim chart is inconsistent"),
+        };
+        self.log_outcome(&outcome);
+        outcome
+    }
+
+    async fn withdraw(&self, reason: RefusalReason) -> ClaimOutcome {
+        // If the delete fails, the key stays in use until the record expires; the call was not
+        // run either way.
+        let withdrawn = self.replace_record(None).await;
+        log_event!(
+            ClaimWithdrawn,
+            request_id = self.call.request_id,
+            deleted = withdrawn
+        );
+        ClaimOutcome::Refused(reason)
+    }
+
+    async fn replay(&self) -> ClaimOutcome {
+        let state = self.found.as_ref().map(|record| &record.state);
+        let Some(ClaimState::Done { answer: stored }) = state else {
+            return ClaimOutcome::Refused(RefusalReason::AnswerNotStored);
+        };
+        match load_answer(self.service.objects.as_ref(), stored).await {
+            Some(answer) => ClaimOutcome::Answer(answer, true),
+            None => ClaimOutcome::Refused(RefusalReason::AnswerNotStored),
+        }
+    }
+
+    fn unknown(&self, fault: &str) -> ClaimOutcome {
+        let request_id = self.call.request_id;
+        log_event!(ClaimUnknown, request_id = request_id, fault = fault);
+        self.service.metrics.count_claim("unknown");
+        ClaimOutcome::Unknown(fault.to_owned())
+    }
+
+    fn log_outcome(&self, outcome: &ClaimOutcome) {
+        let request_id = self.call.request_id;
+        let result = match outcome {
+            ClaimOutcome::Answer(_, true) => {
+                log_event!(AnswerReplayed, request_id = request_id);
+                "replayed"
+            }
+            ClaimOutcome::Answer(_, false) => "ran",
+            ClaimOutcome::Refused(RefusalReason::KeyInUse) => {
+                log_event!(ClaimLost, request_id = request_id);
+                "key_in_use"
+            }
+            ClaimOutcome::Refused(reason) => {
+                let reason = reason.as_str_name();
+                log_event!(ClaimRefused, request_id = request_id, reason = reason);
+                "refused"
+            }
+            ClaimOutcome::Unknown(_) => "unknown",
+        };
+        self.service.metrics.count_claim(result);
+    }
+}
+
+async fn read_whole(mut answer: BackendAnswer) -> crate::agent::backend::Result<WholeAnswer> {
+    let status = answer.response.status().as_u16();
+    let headers = answer_headers(answer.response.headers());
+    let body = answer.read_whole(MAX_CLAIMED_ANSWER_BYTES).await?;
+    Ok(WholeAnswer {
+        status,
+        headers,
+        body,
+    })
+}
+
+impl ClaimService {
+    /// Returns the table's time; reads it if the table never told it.
+    async fn table_now(&self, key: &str) -> Option<u64> {
+        if let Some(time_ms) = self.table_time.estimate() {
+            return Some(time_ms);
+        }
+        let read = self.table.read(key).await.ok()?;
+        self.table_time.note(read.time_ms);
+        Some(read.time_ms)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/claims/store.rs
@@ -0,0 +1,97 @@
+//! Answers of claimed calls, in the record or in the object store.
+
+use {
+    crate::{constants::MAX_INLINE_ANSWER_BYTES, platform::ObjectStore},
+    bytes::Bytes,
+    sassafrasslip_core::{
+        claim::{AnswerBody, AnswerHeader, StoredAnswer},
+        events::LogEvent::PlatformUnavailable,
+        log_event,
+    },
+    sassafrasslip_proto::link::Header,
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Whole answer of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WholeAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Prepares an answer for its record; a large body is written to the object store first. If that
+/// fails, the record says that the answer was not stored.
+pub async fn store_answer(
+    objects: &dyn ObjectStore,
+    object_key: String,
+    answer: &WholeAnswer,
+) -> StoredAnswer {
+    let status = answer.status;
+    let headers = answer.headers.iter().map(|header| AnswerHeader {
+        name: header.name.clone(),
+        value: AnswerBody::from(header.value.as_ref()),
+    });
+    let headers = headers.collect();
+    if answer.body.len() <= MAX_INLINE_ANSWER_BYTES {
+        let body = AnswerBody::from(answer.body.as_ref());
+        return StoredAnswer::Inline {
+            status,
+            headers,
+            body,
+        };
+    }
+    if let Err(error) = objects.put(&object_key, answer.body.clone()).await {
+        log_event!(PlatformUnavailable, service = "object store", error = error);
+        return StoredAnswer::NotStored;
+    }
+    StoredAnswer::Object {
+        status,
+        headers,
+        key: object_key,
+        length: answer.body.len() as u64,
+        checksum: xxh3_64(&answer.body),
+    }
+}
+
+/// Loads a stored answer; `None` if it was not stored or cannot be read whole.
+pub async fn load_answer(objects: &dyn ObjectStore, stored: &StoredAnswer) -> Option<WholeAnswer> {
+    match stored {
+        StoredAnswer::Inline {
+            status,
+            headers,
+            body,
+        } => Some(WholeAnswer {
+            status: *status,
+            headers: link_headers(headers),
+            body: Bytes::copy_from_slice(body.as_bytes()),
+        }),
+        StoredAnswer::NotStored => None,
+        StoredAnswer::Object {
+            status,
+            headers,
+            key,
+            length,
+            checksum,
+        } => {
+            let body = objects.get(key).await.ok().flatten()?;
+            let whole = body.len() as u64 == *length && xxh3_64(&body) == *checksum;
+            whole.then(|| WholeAnswer {
+                status: *status,
+                headers: link_headers(headers),
+                body,
+            })
+        }
+    }
+}
+
+fn link_headers(headers: &[AnswerHeader]) -> Vec<Header> {
+    let headers = headers.iter().map(|header| Header {
+        name: header.name.clone(),
+        value: Bytes::copy_from_slice(header.value.as_bytes()),
+    });
+    headers.collect()
+}
--- /dev/null
+++ b/crates/daemon/src/agent/reports.rs
@@ -0,0 +1,39 @@
+//! Reports to one entry: at an interval, and when the agent's state changes.
+
+use {
+    super::AgentContext,
+    crate::{constants::REPORT_INTERVAL, link::LinkSender},
+    sassafrasslip_proto::link::{AgentReport, link_frame::Message},
+    std::sync::Arc,
+    tokio::time::{MissedTickBehavior, interval},
+};
+
+/// Sends reports until the link closes.
+pub async fn run(agent: Arc<AgentContext>, sender: LinkSender) {
+    let mut changes = agent.admission.changes();
+    let mut ticks = interval(REPORT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            _ = changes.changed() => {}
+            () = sender.closed() => return,
+        }
+        // A full queue already tells the entry more than this report would.
+        let _ = sender.try_send(Message::AgentReport(report(&agent)));
+    }
+}
+
+/// Returns the current report.
+pub fn report(agent: &AgentContext) -> AgentReport {
+    let extras = agent.orders.report_extras();
+    AgentReport {
+        load: Some(agent.admission.load()),
+        configuration_revision: agent.admission.revision(),
+        kind_costs: extras.kind_costs,
+        cached_prefixes: Vec::new(),
+        mean_step_us: extras.mean_step_us,
+        map_version: extras.map_version,
+        target_healthy: agent.admission.is_healthy(),
+    }
+}
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -47,3 +47,42 @@
 pub const CLAIM_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 /// Largest answer that is stored in the claim record itself; longer ones go to the object store.
 pub const MAX_INLINE_ANSWER_BYTES: usize = 64 * 1024;
+/// Largest answer of a claimed call that is collected; it is held in memory as a whole.
+pub const MAX_CLAIMED_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Longest run of a claimed call. Its entry has answered `unknown` long before, but the answer
+/// is still worth storing; without a limit, a hung service would keep its slot for ever.
+pub const CLAIMED_CALL_LIMIT: Duration = Duration::from_secs(120);
+/// Pause before a record is read again after a failed read.
+pub const CLAIM_READ_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before a done record is written again.
+pub const CLAIM_STORE_PAUSE: Duration = Duration::from_millis(500);
+/// Start records that share one transaction.
+pub const MAX_INSERT_GROUP: usize = 32;
+/// Records that the sweeper reads at once.
+pub const SWEEP_PAGE_ITEMS: usize = 100;
+/// Pause of the sweeper between two pages. With three agents a service, the sweepers stay below
+/// one read a second on the table, which takes about 2,000.
+pub const SWEEP_PAGE_PAUSE: Duration = Duration::from_secs(5);
+/// Pause of the sweeper between two passes; its phase is random.
+pub const SWEEP_PASS_PAUSE: Duration = Duration::from_secs(15 * 60);
+
+// Agents.
+
+/// Time to open a connection to the target, which is on the same instance.
+pub const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval of the target's health check.
+pub const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for the answer of a health check.
+pub const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest deadline that an agent accepts; it keeps the arithmetic on instants in range.
+pub const MAX_REMAINING: Duration = Duration::from_secs(24 * 60 * 60);
+/// Largest payload of one answer chunk, in bytes.
+pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
+/// Interval at which an agent looks for pauses of its own process.
+pub const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// A gap between two looks that counts as a pause of the process.
+pub const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
+/// Time after a pause in which frames may still come from the socket's buffer.
+pub const PAUSE_BACKLOG: Duration = Duration::from_secs(1);
+/// Longest wait for the peers to close their links at the end of a graceful stop.
+pub const LINK_CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/link/connection.rs
+++ b/crates/daemon/src/link/connection.rs
@@ -111,6 +111,17 @@
             Ok(Some(Ok(message))) => Ok(Some(message)),
         }
     }
+
+    /// Drops this sending half and reads until the peer closes the link. Once all clones of the
+    /// sender are dropped too, the writer sends what is queued and closes its direction, so that
+    /// no frame is lost when the process ends afterwards.
+    pub async fn finish(self) {
+        let Self {
+            sender, mut stream, ..
+        } = self;
+        drop(sender);
+        while let Some(Ok(_)) = stream.next().await {}
+    }
 }
 
 /// Opens a link to a peer.
