--- a/crates/core/tests/claim_model/mod.rs
+++ b/crates/core/tests/claim_model/mod.rs
@@ -3,6 +3,8 @@
 //! table request waits until the test schedules it, so that freezes, late requests and lost
 //! answers fall between any two steps.
 
+#![allow(unreachable_pub, reason = "the module is private to its test binary")]
+
 use {
     proptest::{
         prelude::*,
--- a/crates/daemon/src/agent/admission.rs
+++ b/crates/daemon/src/agent/admission.rs
@@ -62,7 +62,8 @@
     listed: bool,
     operator: bool,
     stop: bool,
-    healthy: bool,
+    /// Result of the last health check, if there was one.
+    healthy: Option<bool>,
 }
 
 /// Admission of one target. Clones share the state.
@@ -129,7 +130,7 @@
         if now >= request.deadline {
             return Some(RefusalReason::Deadline);
         }
-        if !self.healthy {
+        if self.healthy != Some(true) {
             return Some(RefusalReason::TargetDown);
         }
         (self.in_flight() >= limit).then_some(RefusalReason::Full)
@@ -247,7 +248,7 @@
     /// Sets the result of the target's health check.
     pub fn set_healthy(&self, healthy: bool, cause: &str) {
         let mut state = self.state();
-        if std::mem::replace(&mut state.healthy, healthy) == healthy {
+        if state.healthy.replace(healthy) == Some(healthy) {
             return;
         }
         drop(state);
@@ -259,7 +260,7 @@
 
     /// Returns whether the target passed its last health check.
     pub fn is_healthy(&self) -> bool {
-        self.state().healthy
+        self.state().healthy == Some(true)
     }
 
     /// Returns the current load.
--- a/crates/daemon/src/agent/claims.rs
+++ b/crates/daemon/src/agent/claims.rs
@@ -1,5 +1,6 @@
 //! Drives claims against the table and the object store.
 
+mod conclusion;
 pub mod inserts;
 pub mod run;
 pub mod store;
--- /dev/null
+++ b/crates/daemon/src/agent/claims/conclusion.rs
@@ -0,0 +1,98 @@
+//! Last action of a claim: what the entry is told, and what is logged.
+
+use {
+    super::{
+        run::{ClaimOutcome, ClaimRun},
+        store::load_answer,
+    },
+    crate::agent::calls::refusal_name,
+    sassafrasslip_core::{
+        claim::{AttemptAction, ClaimState},
+        events::LogEvent::{AnswerReplayed, ClaimLost, ClaimRefused, ClaimUnknown, ClaimWithdrawn},
+        log_event,
+    },
+    sassafrasslip_proto::link::RefusalReason,
+};
+
+impl ClaimRun<'_> {
+    /// Carries out the last action.
+    pub(super) async fn conclude(&mut self, action: AttemptAction) -> ClaimOutcome {
+        let outcome = match action {
+            AttemptAction::ReportAnswer => match self.answer.clone() {
+                Some(answer) => ClaimOutcome::Answer(answer, false),
+                None => return self.unknown("the answer is missing"),
+            },
+            AttemptAction::Replay => self.replay().await,
+            AttemptAction::ReportUnknown => {
+                let fault = std::mem::take(&mut self.fault);
+                return self.unknown(&fault);
+            }
+            AttemptAction::WithdrawLate => self.withdraw(RefusalReason::Deadline).await,
+            AttemptAction::WithdrawUnsent => self.withdraw(RefusalReason::TargetDown).await,
+            AttemptAction::RefuseInUse => ClaimOutcome::Refused(RefusalReason::KeyInUse),
+            AttemptAction::RefuseReused => ClaimOutcome::Refused(RefusalReason::KeyReused),
+            AttemptAction::RefuseTombstone => ClaimOutcome::Refused(RefusalReason::Tombstone),
+            AttemptAction::RefuseTableDown => ClaimOutcome::Refused(RefusalReason::TableDown),
+            AttemptAction::CheckDeadline
+            | AttemptAction::Forward
+            | AttemptAction::Insert
+            | AttemptAction::Read
+            | AttemptAction::Store => return self.unknown("the claim chart is inconsistent"),
+        };
+        self.log_outcome(&outcome);
+        outcome
+    }
+
+    async fn withdraw(&self, reason: RefusalReason) -> ClaimOutcome {
+        // If the delete fails, the key stays in use until the record expires; the call was not
+        // run either way.
+        let withdrawn = self.replace_record(None).await;
+        log_event!(
+            ClaimWithdrawn,
+            request_id = self.call.request_id,
+            deleted = withdrawn
+        );
+        ClaimOutcome::Refused(reason)
+    }
+
+    async fn replay(&self) -> ClaimOutcome {
+        let state = self.found.as_ref().map(|record| &record.state);
+        let Some(ClaimState::Done { answer: stored }) = state else {
+            return ClaimOutcome::Refused(RefusalReason::AnswerNotStored);
+        };
+        match load_answer(self.service.objects.as_ref(), stored).await {
+            Some(answer) => ClaimOutcome::Answer(answer, true),
+            None => ClaimOutcome::Refused(RefusalReason::AnswerNotStored),
+        }
+    }
+
+    /// Logs and counts an unknown outcome.
+    pub(super) fn unknown(&self, fault: &str) -> ClaimOutcome {
+        let request_id = self.call.request_id;
+        log_event!(ClaimUnknown, request_id = request_id, fault = fault);
+        self.service.metrics.count_claim("unknown");
+        ClaimOutcome::Unknown(fault.to_owned())
+    }
+
+    fn log_outcome(&self, outcome: &ClaimOutcome) {
+        let request_id = self.call.request_id;
+        let result = match outcome {
+            ClaimOutcome::Answer(_, true) => {
+                log_event!(AnswerReplayed, request_id = request_id);
+                "replayed"
+            }
+            ClaimOutcome::Answer(_, false) => "ran",
+            ClaimOutcome::Refused(RefusalReason::KeyInUse) => {
+                log_event!(ClaimLost, request_id = request_id);
+                "key_in_use"
+            }
+            ClaimOutcome::Refused(reason) => {
+                let reason = refusal_name(*reason);
+                log_event!(ClaimRefused, request_id = request_id, reason = reason);
+                "refused"
+            }
+            ClaimOutcome::Unknown(_) => "unknown",
+        };
+        self.service.metrics.count_claim(result);
+    }
+}
--- a/crates/daemon/src/agent/claims/run.rs
+++ b/crates/daemon/src/agent/claims/run.rs
@@ -4,7 +4,7 @@
     super::{
         ClaimCall, ClaimService,
         inserts::{InsertRecord, InsertResult},
-        store::{WholeAnswer, load_answer, store_answer},
+        store::{WholeAnswer, store_answer},
     },
     crate::{
         agent::backend::{BackendAnswer, BackendConnection, BackendStep, headers::answer_headers},
@@ -19,10 +19,7 @@
     hyper::Request,
     sassafrasslip_core::{
         claim::{AttemptAction, AttemptInput, ClaimAttempt, ClaimRecord, ClaimState, StoredAnswer},
-        events::LogEvent::{
-            AnswerReplayed, ClaimDone, ClaimInserted, ClaimLost, ClaimReadBack, ClaimRefused,
-            ClaimStoreFailed, ClaimUnknown, ClaimWithdrawn,
-        },
+        events::LogEvent::{ClaimDone, ClaimInserted, ClaimReadBack, ClaimStoreFailed},
         log_event,
     },
     sassafrasslip_proto::link::RefusalReason,
@@ -49,17 +46,17 @@
 
 /// Claim in progress.
 pub struct ClaimRun<'a> {
-    service: &'a ClaimService,
-    call: ClaimCall,
+    pub(super) service: &'a ClaimService,
+    pub(super) call: ClaimCall,
     attempt: ClaimAttempt,
     cancelled: CancellationToken,
     prepared: Option<PreparedCall>,
     record: Option<ClaimRecord>,
     version: u64,
-    found: Option<ClaimRecord>,
-    answer: Option<WholeAnswer>,
+    pub(super) found: Option<ClaimRecord>,
+    pub(super) answer: Option<WholeAnswer>,
     stored: Option<StoredAnswer>,
-    fault: String,
+    pub(super) fault: String,
 }
 
 impl<'a> ClaimRun<'a> {
@@ -251,7 +248,7 @@
 
     /// Writes or deletes the record if it is still this attempt's own start record. Returns
     /// whether the write has taken effect, now or in an earlier try whose answer was lost.
-    async fn replace_record(&self, value: Option<String>) -> bool {
+    pub(super) async fn replace_record(&self, value: Option<String>) -> bool {
         let key = self.call.scope.table_key();
         let condition = TableCondition {
             key: key.clone(),
@@ -275,85 +272,6 @@
             Err(_) => false,
         }
     }
-
-    async fn conclude(&mut self, action: AttemptAction) -> ClaimOutcome {
-        let outcome = match action {
-            AttemptAction::ReportAnswer => match self.answer.clone() {
-                Some(answer) => ClaimOutcome::Answer(answer, false),
-                None => return self.unknown("the answer is missing"),
-            },
-            AttemptAction::Replay => self.replay().await,
-            AttemptAction::ReportUnknown => {
-                let fault = std::mem::take(&mut self.fault);
-                return self.unknown(&fault);
-            }
-            AttemptAction::WithdrawLate => self.withdraw(RefusalReason::Deadline).await,
-            AttemptAction::WithdrawUnsent => self.withdraw(RefusalReason::TargetDown).await,
-            AttemptAction::RefuseInUse => ClaimOutcome::Refused(RefusalReason::KeyInUse),
-            AttemptAction::RefuseReused => ClaimOutcome::Refused(RefusalReason::KeyReused),
-            AttemptAction::RefuseTombstone => ClaimOutcome::Refused(RefusalReason::Tombstone),
-            AttemptAction::RefuseTableDown => ClaimOutcome::Refused(RefusalReason::TableDown),
-            AttemptAction::CheckDeadline
-            | AttemptAction::Forward
-            | AttemptAction::Insert
-            | AttemptAction::Read
-            | AttemptAction::Store => return self.unknown("the claim chart is inconsistent"),
-        };
-        self.log_outcome(&outcome);
-        outcome
-    }
-
-    async fn withdraw(&self, reason: RefusalReason) -> ClaimOutcome {
-        // If the delete fails, the key stays in use until the record expires; the call was not
-        // run either way.
-        let withdrawn = self.replace_record(None).await;
-        log_event!(
-            ClaimWithdrawn,
-            request_id = self.call.request_id,
-            deleted = withdrawn
-        );
-        ClaimOutcome::Refused(reason)
-    }
-
-    async fn replay(&self) -> ClaimOutcome {
-        let state = self.found.as_ref().map(|record| &record.state);
-        let Some(ClaimState::Done { answer: stored }) = state else {
-            return ClaimOutcome::Refused(RefusalReason::AnswerNotStored);
-        };
-        match load_answer(self.service.objects.as_ref(), stored).await {
-            Some(answer) => ClaimOutcome::Answer(answer, true),
-            None => ClaimOutcome::Refused(RefusalReason::AnswerNotStored),
-        }
-    }
-
-    fn unknown(&self, fault: &str) -> ClaimOutcome {
-        let request_id = self.call.request_id;
-        log_event!(ClaimUnknown, request_id = request_id, fault = fault);
-        self.service.metrics.count_claim("unknown");
-        ClaimOutcome::Unknown(fault.to_owned())
-    }
-
-    fn log_outcome(&self, outcome: &ClaimOutcome) {
-        let request_id = self.call.request_id;
-        let result = match outcome {
-            ClaimOutcome::Answer(_, true) => {
-                log_event!(AnswerReplayed, request_id = request_id);
-                "replayed"
-            }
-            ClaimOutcome::Answer(_, false) => "ran",
-            ClaimOutcome::Refused(RefusalReason::KeyInUse) => {
-                log_event!(ClaimLost, request_id = request_id);
-                "key_in_use"
-            }
-            ClaimOutcome::Refused(reason) => {
-                let reason = reason.as_str_name();
-                log_event!(ClaimRefused, request_id = request_id, reason = reason);
-                "refused"
-            }
-            ClaimOutcome::Unknown(_) => "unknown",
-        };
-        self.service.metrics.count_claim(result);
-    }
 }
 
 async fn read_whole(mut answer: BackendAnswer) -> crate::agent::backend::Result<WholeAnswer> {
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -76,8 +76,9 @@
 pub const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest deadline that an agent accepts; it keeps the arithmetic on instants in range.
 pub const MAX_REMAINING: Duration = Duration::from_secs(24 * 60 * 60);
-/// Largest payload of one answer chunk, in bytes.
-pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
+/// Largest payload of one answer chunk, in bytes. It is larger than the most that one read of
+/// the target's connection yields, so that no token line is split between chunks.
+pub const MAX_CHUNK_BYTES: usize = 1024 * 1024;
 /// Interval at which an agent looks for pauses of its own process.
 pub const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// A gap between two looks that counts as a pause of the process.
