Add the routing, limits, retry and membership decisions

Cause: entries need decisions that tests can drive without a network. Change: core gains routing (own zone first, in-flight figures, bounded rendezvous hashing, hot-rank cost, random choice among near ties), limits (team concurrency and rate, wait queue fair among teams, early refusal), retry (budget and outcome rules), membership, and the ring of explanations.

--- a/crates/core/src/explanation.rs
+++ b/crates/core/src/explanation.rs
@@ -1,5 +1,9 @@
 //! Explanations of routing decisions, and the status of the fleet, as operators read them.
 
+pub mod ring;
+
+pub use ring::ExplanationRing;
+
 use {
     crate::{
         configuration::Revision,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,3 +8,7 @@
 pub mod events;
 pub mod explanation;
 pub mod ids;
+pub mod limits;
+pub mod membership;
+pub mod retry;
+pub mod routing;
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,9 @@
+//! Limits of teams, and the queue of requests that wait for a free target.
+
+pub mod queue;
+pub mod team;
+
+pub use {
+    queue::{QueueLimits, QueueRefusal, TicketKey, WaitQueue, WaitRequest},
+    team::{TeamLedger, TeamLimits, TeamRefusal},
+};
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,205 @@
+//! Targets known from the instance list and from the reports of their agents.
+
+pub mod policy;
+pub mod target;
+
+pub use {
+    policy::CachedSetting,
+    target::{AgentFacts, AgentStatus, ServiceKind, Target, TargetListing, TargetLoad},
+};
+
+use {
+    crate::{
+        configuration::ConfigurationView,
+        ids::{InstanceName, ServiceName},
+    },
+    slotmap::{SlotMap, new_key_type},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
+};
+
+new_key_type! {
+    /// Key of a target in [`Membership`].
+    pub struct TargetKey;
+}
+
+/// What a new instance list asks for.
+#[derive(Debug, Default)]
+pub struct ListChanges {
+    /// Targets to which a link has to be opened.
+    pub joined: Vec<TargetKey>,
+    /// Targets that are gone; their links can be closed.
+    pub removed: Vec<TargetKey>,
+    /// Targets that are listed as leaving, or no longer listed, since this list.
+    pub leaving: Vec<TargetKey>,
+}
+
+/// All known targets, indexed by service and by name.
+#[derive(Debug, Default)]
+pub struct Membership {
+    targets: SlotMap<TargetKey, Target>,
+    by_name: HashMap<InstanceName, TargetKey>,
+    by_service: HashMap<ServiceName, Vec<TargetKey>>,
+    view: Arc<ConfigurationView>,
+    listed: bool,
+}
+
+impl Membership {
+    /// Returns whether an instance list has been read at all. Before that, no service can be
+    /// called unknown.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Returns a target.
+    pub fn target(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key)
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.targets.iter()
+    }
+
+    /// Returns the key of a named target.
+    pub fn find(&self, name: &InstanceName) -> Option<TargetKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the targets of a service, in the order in which they joined.
+    pub fn of_service(&self, service: &ServiceName) -> &[TargetKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the requests that this entry has in flight at the targets of a service.
+    pub fn own_in_flight(&self, service: &ServiceName) -> u32 {
+        let targets = self.of_service(service).iter();
+        targets.map(|key| self.targets[*key].own_in_flight()).sum()
+    }
+
+    /// Applies a new instance list. A target that is no longer listed gets no new work, and is
+    /// removed once this entry has nothing in flight there.
+    pub fn apply_list(&mut self, listings: Vec<TargetListing>) -> ListChanges {
+        self.listed = true;
+        let mut changes = ListChanges::default();
+        let mut seen = HashSet::new();
+        for listing in listings {
+            let key = self.upsert(listing, &mut changes);
+            seen.insert(key);
+        }
+        self.retire_unlisted(&seen, &mut changes);
+        changes
+    }
+
+    fn upsert(&mut self, listing: TargetListing, changes: &mut ListChanges) -> TargetKey {
+        if let Some(key) = self.by_name.get(&listing.name).copied() {
+            if self.targets[key].listing.is_same_place(&listing) {
+                self.refresh(key, listing, changes);
+                return key;
+            }
+            // The name now stands for another address, zone or service: start afresh.
+            self.remove(key);
+            changes.removed.push(key);
+        }
+        let key = self.insert(listing);
+        changes.joined.push(key);
+        key
+    }
+
+    fn refresh(&mut self, key: TargetKey, listing: TargetListing, changes: &mut ListChanges) {
+        let target = &mut self.targets[key];
+        if listing.leaving && !target.listing.leaving {
+            changes.leaving.push(key);
+        }
+        target.listing.leaving = listing.leaving;
+    }
+
+    fn insert(&mut self, listing: TargetListing) -> TargetKey {
+        let (name, service) = (listing.name.clone(), listing.service.clone());
+        let target = Target::new(listing, &self.view);
+        let key = self.targets.insert(target);
+        self.by_name.insert(name, key);
+        self.by_service.entry(service).or_default().push(key);
+        key
+    }
+
+    fn retire_unlisted(&mut self, seen: &HashSet<TargetKey>, changes: &mut ListChanges) {
+        let unlisted: Vec<_> = self
+            .targets
+            .keys()
+            .filter(|key| !seen.contains(key))
+            .collect();
+        for key in unlisted {
+            let target = &mut self.targets[key];
+            if target.own_in_flight() == 0 {
+                self.remove(key);
+                changes.removed.push(key);
+            } else if !target.listing.leaving {
+                target.listing.leaving = true;
+                changes.leaving.push(key);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.remove(key) else {
+            return;
+        };
+        self.by_name.remove(&target.listing.name);
+        let service = &target.listing.service;
+        if let Some(keys) = self.by_service.get_mut(service) {
+            keys.retain(|other| *other != key);
+            if keys.is_empty() {
+                self.by_service.remove(service);
+            }
+        }
+    }
+
+    /// Applies a configuration view: limits and costs of each target are resolved once here and
+    /// not in each routing decision.
+    pub fn apply_view(&mut self, view: &Arc<ConfigurationView>) {
+        if Arc::ptr_eq(view, &self.view) {
+            return;
+        }
+        self.view = Arc::clone(view);
+        for target in self.targets.values_mut() {
+            target.apply_view(view);
+        }
+    }
+
+    /// Records that the link to an agent is open.
+    pub fn connected(&mut self, key: TargetKey, facts: AgentFacts) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.connect(facts);
+        }
+    }
+
+    /// Records that the link to an agent is closed.
+    pub fn disconnected(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.disconnect();
+        }
+    }
+
+    /// Records a report of an agent; returns whether the target has just started to drain.
+    pub fn reported(&mut self, key: TargetKey, status: AgentStatus) -> bool {
+        let target = self.targets.get_mut(key);
+        target.is_some_and(|target| target.report(status))
+    }
+
+    /// Records that a request is sent to a target.
+    pub fn dispatched(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.add_request();
+        }
+    }
+
+    /// Records that a request has ended at a target, with the exact load if the agent gave it.
+    pub fn finished(&mut self, key: TargetKey, load: Option<TargetLoad>) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.end_request(load);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/candidate.rs
@@ -0,0 +1,133 @@
+//! Candidates of a routing decision and their scores.
+
+use {
+    super::{RoutePolicy, RouteRequest},
+    crate::{
+        explanation::CandidateFigures,
+        membership::{Membership, Target, TargetKey, target::kind_hash},
+    },
+    std::fmt,
+};
+
+/// Cost of a fully used target over an idle one, in milliseconds. With the default limit of 32
+/// requests and zone cost of 4 ms, a target of the own availability zone is preferred until it
+/// has two requests more than one elsewhere.
+const FULL_LOAD_COST_MS: f64 = 100.0;
+
+/// Weight of a target's mean step time. Load already counts in the first term, and reports are up
+/// to 1 s old, so a high weight would make all entries chase the same fast group. A stalled group
+/// has a step time of seconds and loses at any weight.
+const STEP_TIME_WEIGHT: f64 = 1.0;
+
+/// Why a target cannot be chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Exclusion {
+    /// It takes no new work.
+    Draining,
+    /// It has as many requests in flight as it may have.
+    Full,
+    /// An earlier attempt used it.
+    Tried,
+    /// It failed its health check.
+    Unhealthy,
+    /// Its link is not open.
+    Unreachable,
+}
+
+impl fmt::Display for Exclusion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Draining => "draining",
+            Self::Full => "full",
+            Self::Tried => "tried before",
+            Self::Unhealthy => "unhealthy",
+            Self::Unreachable => "unreachable",
+        })
+    }
+}
+
+/// Target with its score; the lowest score is the best.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Target.
+    pub key: TargetKey,
+    /// Expected cost in milliseconds.
+    pub score: f64,
+    /// Estimated requests in flight.
+    pub in_flight: u32,
+    /// Limit on requests in flight.
+    pub limit: u32,
+    /// Whether the target is in the entry's availability zone.
+    pub own_zone: bool,
+    /// Why the target cannot be chosen.
+    pub exclusion: Option<Exclusion>,
+}
+
+impl Candidate {
+    /// Weighs a target for a request.
+    pub fn weigh(
+        key: TargetKey,
+        target: &Target,
+        request: &RouteRequest<'_>,
+        policy: &RoutePolicy,
+    ) -> Self {
+        let limit = effective_limit(target, policy);
+        let in_flight = target.in_flight();
+        let own_zone = target.listing.availability_zone == policy.own_zone;
+        let added = request
+            .kind
+            .map_or(1.0, |kind| target.kind_cost(kind_hash(kind)));
+        let load = (f64::from(in_flight) + f64::from(added)) / f64::from(limit);
+        let zone_cost = target.zone_cost.or_team(policy.team_zone_cost.as_ref());
+        let zone_cost = if own_zone { 0 } else { zone_cost.number };
+        let step_ms = target.status.mean_step_us as f64 / 1000.0;
+        let score = FULL_LOAD_COST_MS * load + zone_cost as f64 + STEP_TIME_WEIGHT * step_ms;
+        let exclusion = if request.tried.contains(&key) {
+            Some(Exclusion::Tried)
+        } else {
+            exclusion(target, in_flight, limit)
+        };
+        Self {
+            key,
+            score,
+            in_flight,
+            limit,
+            own_zone,
+            exclusion,
+        }
+    }
+
+    /// Returns the figures for operators; `None` if the target is gone.
+    pub fn figures(&self, membership: &Membership) -> Option<CandidateFigures> {
+        let listing = &membership.target(self.key)?.listing;
+        Some(CandidateFigures {
+            target: listing.name.clone(),
+            availability_zone: listing.availability_zone.clone(),
+            in_flight: self.in_flight,
+            limit: self.limit,
+            score: self.score,
+            excluded: self.exclusion.map(|exclusion| exclusion.to_string()),
+        })
+    }
+}
+
+/// Returns the limit that applies: the setting's, but not more than the agent says.
+pub fn effective_limit(target: &Target, policy: &RoutePolicy) -> u32 {
+    let setting = target.limit.or_team(policy.team_limit.as_ref());
+    let setting = u32::try_from(setting.number).unwrap_or(u32::MAX);
+    setting.min(target.status.load.concurrency).max(1)
+}
+
+fn exclusion(target: &Target, in_flight: u32, limit: u32) -> Option<Exclusion> {
+    if !target.is_connected() {
+        Some(Exclusion::Unreachable)
+    } else if target.is_draining() {
+        Some(Exclusion::Draining)
+    } else if !target.status.healthy {
+        Some(Exclusion::Unhealthy)
+    } else if in_flight >= limit {
+        Some(Exclusion::Full)
+    } else {
+        None
+    }
+}
