Add the entry: callers, dispatcher, links to agents and peers

Cause: the daemon had no entry. Change: the entry accepts callers, admits and routes their requests, dispatches them over agent links, checks answers against their sums, resumes streams, inserts tombstones, exchanges reports and revisions with peers, and implements FleetView. AnswerBody pauses once before a cut, because hyper drops unwritten bytes after a body error; without the pause a cut stream lost the tokens before the cut and even its head.

--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -14,6 +14,23 @@
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
 /// Time that a caller has to send the head and the body of a request.
 pub const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a caller may refuse to take bytes of its answer.
+pub const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Connections of callers that are open at once; further ones wait in the listener's backlog.
+pub const MAX_CALLER_CONNECTIONS: usize = 2048;
+/// Memory for the bodies of all requests in flight, in bytes; a quarter of the 256 MB that an
+/// entry may use.
+pub const REQUEST_BODY_MEMORY: usize = 64 * 1024 * 1024;
+/// Largest answer that is collected whole, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes of a streamed answer that wait for a slow caller before the answer is cut.
+pub const STREAM_BUFFER_BYTES: usize = 1024 * 1024;
+/// Chunks of a streamed answer between the dispatcher and the caller's connection.
+pub const STREAM_CHUNKS: usize = 16;
+/// Deadline that a caller may ask for at most.
+pub const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+/// Requests that `explain` remembers.
+pub const EXPLAINED_REQUESTS: usize = 10_000;
 
 // Links.
 
@@ -27,6 +44,8 @@
 pub const LINK_SILENCE_LIMIT: Duration = Duration::from_secs(3);
 /// Messages that wait to be written on one link.
 pub const LINK_QUEUE_LENGTH: usize = 1024;
+/// Time for which a configuration revision waits for room on one link.
+pub const PUBLISH_TIMEOUT: Duration = Duration::from_millis(500);
 
 // Configuration.
 
--- /dev/null
+++ b/crates/daemon/src/entry/callers/body.rs
@@ -0,0 +1,102 @@
+//! Bounded reading of request bodies.
+
+use {
+    super::answer::Refusal,
+    crate::constants::MAX_BODY_BYTES,
+    bytes::{Bytes, BytesMut},
+    http::StatusCode,
+    http_body_util::BodyExt,
+    hyper::body::{Body, Incoming},
+    std::{result, sync::Arc},
+    tokio::{
+        sync::{OwnedSemaphorePermit, Semaphore},
+        time::{Instant, timeout_at},
+    },
+};
+
+/// Result of reading a body.
+pub type Result<T> = result::Result<T, Refusal>;
+
+/// Body of a request; its share of the body memory is free again when it is dropped.
+#[derive(Debug)]
+pub struct RequestBody {
+    /// Content.
+    pub bytes: Bytes,
+    _memory: Option<OwnedSemaphorePermit>,
+}
+
+impl RequestBody {
+    /// Creates a body that does not count against the body memory.
+    pub fn unaccounted(bytes: Bytes) -> Self {
+        Self {
+            bytes,
+            _memory: None,
+        }
+    }
+}
+
+/// Reads a body up to a size and a time.
+///
+/// # Errors
+///
+/// Fails with 413 if the body is too large, 408 if it is late, 400 if it is malformed, and 503 if
+/// the memory for bodies is used up.
+pub async fn read(
+    incoming: Incoming,
+    memory: &Arc<Semaphore>,
+    deadline: Instant,
+) -> Result<RequestBody> {
+    if incoming.size_hint().lower() > MAX_BODY_BYTES as u64 {
+        return Err(oversized());
+    }
+    let late = || {
+        let message = "the caller did not send its request in time";
+        Refusal::not_run(StatusCode::REQUEST_TIMEOUT, "slow_caller", message)
+    };
+    let reading = read_frames(incoming, memory);
+    timeout_at(deadline, reading)
+        .await
+        .unwrap_or_else(|_| Err(late()))
+}
+
+async fn read_frames(mut incoming: Incoming, memory: &Arc<Semaphore>) -> Result<RequestBody> {
+    let mut bytes = BytesMut::new();
+    let mut permits: Option<OwnedSemaphorePermit> = None;
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|error| {
+            let message = format!("the body cannot be read: {error}");
+            Refusal::not_run(StatusCode::BAD_REQUEST, "malformed", message)
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > MAX_BODY_BYTES {
+            return Err(oversized());
+        }
+        // Only what has arrived is counted, so that slow callers cannot reserve memory.
+        let permit = reserve(memory, data.len())?;
+        match &mut permits {
+            Some(permits) => permits.merge(permit),
+            None => permits = Some(permit),
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(RequestBody {
+        bytes: bytes.freeze(),
+        _memory: permits,
+    })
+}
+
+fn reserve(memory: &Arc<Semaphore>, length: usize) -> Result<OwnedSemaphorePermit> {
+    let length = u32::try_from(length).unwrap_or(u32::MAX);
+    let permit = Arc::clone(memory).try_acquire_many_owned(length);
+    permit.map_err(|_| {
+        let message = "the entry has no memory left for request bodies";
+        Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "entry_busy", message)
+    })
+}
+
+fn oversized() -> Refusal {
+    let message = format!("the body is larger than {MAX_BODY_BYTES} bytes");
+    Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "oversized", message)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/dispatcher.rs
@@ -0,0 +1,220 @@
+//! Life of one request: admission, attempts, outcome.
+
+pub mod attempt;
+pub mod pending;
+pub mod run;
+pub mod settings;
+pub mod sums;
+pub mod tokens;
+pub mod waiting;
+
+use {
+    self::{
+        attempt::AttemptFailure,
+        pending::AttemptHandle,
+        run::{RequestRun, RunEnd},
+        settings::RunSettings,
+        waiting::AcquireError,
+    },
+    super::{
+        callers::{
+            answer::{CallerResponse, Refusal},
+            request::CallerRequest,
+        },
+        context::EntryContext,
+        tombstones::{TombstoneOutcome, claim_key, try_tombstone},
+    },
+    http::StatusCode,
+    sassafrasslip_core::{
+        configuration::{ConfigurationView, SettingTarget},
+        events::LogEvent::{CallerGone, TeamLimited},
+        ids::TeamName,
+        limits::{TeamLimits, TeamRefusal},
+        log_event,
+        retry::{AttemptContext, Verdict, judge},
+    },
+    std::sync::Arc,
+    tokio::{sync::oneshot, time::Instant},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Serves a request and responds; `gone` cancels it.
+pub async fn run(
+    context: Arc<EntryContext>,
+    request: CallerRequest,
+    respond: oneshot::Sender<CallerResponse>,
+    gone: CancellationToken,
+) {
+    let mut run = RequestRun::new(context, request, respond);
+    let end = tokio::select! {
+        biased;
+        end = serve(&mut run) => end,
+        () = gone.cancelled() => {
+            log_event!(CallerGone, request_id = run.request.id, attempt = run.attempt);
+            RunEnd::CallerGone
+        }
+    };
+    run.finish(end);
+}
+
+/// Counts the request among those of its team while it lives.
+struct TeamSlot {
+    context: Arc<EntryContext>,
+    team: TeamName,
+}
+
+impl Drop for TeamSlot {
+    fn drop(&mut self) {
+        self.context.state().ledger.release(&self.team);
+    }
+}
+
+async fn serve(run: &mut RequestRun) -> RunEnd {
+    let _slot = match admit(run) {
+        Ok(slot) => slot,
+        Err(refusal) => return RunEnd::Refused(refusal),
+    };
+    loop {
+        let mut handle = match acquire(run).await {
+            Ok(handle) => handle,
+            Err(error) => return run.end_without_target(error),
+        };
+        run.begin_attempt(&handle);
+        let failure = match attempt::execute(run, &mut handle).await {
+            Ok(()) => {
+                handle.succeed();
+                return RunEnd::Answered;
+            }
+            Err(failure) => failure,
+        };
+        let idempotent = handle.idempotent;
+        run.end_attempt(&handle, &failure);
+        drop(handle);
+        if let Some(end) = settle(run, &failure, idempotent).await {
+            return end;
+        }
+    }
+}
+
+fn admit(run: &RequestRun) -> Result<TeamSlot, Refusal> {
+    let (context, head) = (&run.context, &run.request.head);
+    let view = context.current_view();
+    let scope = SettingTarget {
+        team: Some(&head.team),
+        service: Some(&head.service),
+        availability_zone: Some(&context.identity.availability_zone),
+        ..SettingTarget::default()
+    };
+    check_service(run, &view, &scope)?;
+    let limits = run.settings.team;
+    let now = Instant::now();
+    let admitted = context.state().ledger.admit(&head.team, limits, now);
+    admitted.map_err(|refusal| refuse_team(run, refusal, limits))?;
+    context
+        .state()
+        .budget
+        .record_first_try(run.settings.retry_budget);
+    Ok(TeamSlot {
+        context: Arc::clone(context),
+        team: head.team.clone(),
+    })
+}
+
+fn check_service(
+    run: &RequestRun,
+    view: &ConfigurationView,
+    scope: &SettingTarget<'_>,
+) -> Result<(), Refusal> {
+    let after = run.settings.retry_after;
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    if !view.serves(scope) {
+        let message = "the entry has no live configuration lease and cut_off.mode is refuse";
+        return Err(Refusal::not_run(unavailable, "cut_off", message).retry_after(after));
+    }
+    let state = run.context.state();
+    if !state
+        .membership
+        .of_service(&run.request.head.service)
+        .is_empty()
+    {
+        return Ok(());
+    }
+    if !state.membership.is_listed() {
+        let message = "the entry has not read the instance list yet";
+        return Err(Refusal::not_run(unavailable, "not_ready", message).retry_after(after));
+    }
+    let message = format!(
+        "no target provides the service {}",
+        run.request.head.service
+    );
+    Err(Refusal::not_run(StatusCode::NOT_FOUND, "unknown_service", message).retry_after(after))
+}
+
+fn refuse_team(run: &RequestRun, refusal: TeamRefusal, limits: TeamLimits) -> Refusal {
+    let TeamLimits { concurrency, rate } = limits;
+    log_event!(
+        TeamLimited,
+        request_id = run.request.id,
+        team = run.request.head.team,
+        concurrency = concurrency,
+        rate = rate,
+        limit = refusal,
+    );
+    let (reason, after) = match refusal {
+        TeamRefusal::Concurrency => ("team_concurrency", run.settings.retry_after),
+        TeamRefusal::Rate { retry_after } => {
+            ("team_rate", retry_after.max(run.settings.retry_after))
+        }
+    };
+    let status = StatusCode::TOO_MANY_REQUESTS;
+    Refusal::not_run(status, reason, refusal.to_string()).retry_after(after)
+}
+
+async fn acquire(run: &mut RequestRun) -> Result<AttemptHandle, AcquireError> {
+    let query = run.next_query();
+    let RunSettings { queue, .. } = run.settings;
+    waiting::acquire(&run.context, query, queue).await
+}
+
+/// Decides what follows a failed attempt; `None` asks for another one.
+async fn settle(
+    run: &mut RequestRun,
+    failure: &AttemptFailure,
+    idempotent: bool,
+) -> Option<RunEnd> {
+    let attempt = AttemptContext {
+        idempotent,
+        answer_started: run.is_answer_started(),
+    };
+    match judge(failure.event, attempt) {
+        Verdict::Conflict => Some(run.unknown(StatusCode::CONFLICT, failure)),
+        Verdict::Cut => Some(RunEnd::Cut(failure.reason.clone())),
+        Verdict::Refuse(status) => Some(run.not_run(status_code(status), failure)),
+        Verdict::Resume if run.may_repeat(failure) => None,
+        Verdict::Resume => Some(RunEnd::Cut(failure.reason.clone())),
+        Verdict::RetryNotRun if run.may_repeat(failure) => None,
+        Verdict::RetryNotRun => Some(run.not_run(StatusCode::SERVICE_UNAVAILABLE, failure)),
+        Verdict::RetryUnknown => {
+            run.maybe_ran = true;
+            let repeat = run.may_repeat(failure);
+            (!repeat).then(|| run.unknown(StatusCode::BAD_GATEWAY, failure))
+        }
+        Verdict::Tombstone(status) => Some(bury(run, failure, status_code(status)).await),
+        Verdict::Unknown(status) => Some(run.unknown(status_code(status), failure)),
+    }
+}
+
+/// Tries to prove with a tombstone that a non-idempotent call was not run.
+async fn bury(run: &mut RequestRun, failure: &AttemptFailure, status: StatusCode) -> RunEnd {
+    let head = &run.request.head;
+    let key = claim_key(&head.service, &head.team, &run.idempotency_key());
+    let table = run.context.table.as_ref();
+    match try_tombstone(table, &key, run.request.id).await {
+        TombstoneOutcome::Won => run.not_run(StatusCode::SERVICE_UNAVAILABLE, failure),
+        TombstoneOutcome::Lost | TombstoneOutcome::Unreachable => run.unknown(status, failure),
+    }
+}
+
+fn status_code(status: u16) -> StatusCode {
+    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/dispatcher/attempt.rs
@@ -0,0 +1,271 @@
+//! One attempt: dispatch, and reception of the answer.
+
+use {
+    super::{
+        pending::{AnswerFrame, AttemptHandle},
+        run::RequestRun,
+        sums::{AnswerSums, ChunkPlace},
+        tokens,
+    },
+    crate::{constants::MAX_ANSWER_BYTES, link::convert::request_id_to_link},
+    bytes::BytesMut,
+    rand::random,
+    sassafrasslip_core::{
+        membership::{ServiceKind, TargetLoad},
+        retry::{AttemptEvent, DispatchRefusal},
+    },
+    sassafrasslip_proto::link::{
+        self, AnswerEnd, AnswerHead, Dispatch, FailureOutcome, IdempotencyScope, RefusalReason,
+        link_frame::Message,
+    },
+    std::{borrow::Cow, result, time::Duration},
+    tokio::time::{Instant, timeout_at},
+};
+
+/// Result of an attempt.
+pub type Result<T> = result::Result<T, AttemptFailure>;
+
+/// End of an attempt without a whole answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AttemptFailure {
+    /// What happened, for the rules.
+    pub event: AttemptEvent,
+    /// Reason, as callers and operators read it.
+    pub reason: Cow<'static, str>,
+    /// Time after which the agent wants the caller to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl AttemptFailure {
+    fn new(event: AttemptEvent, reason: impl Into<Cow<'static, str>>) -> Self {
+        Self {
+            event,
+            reason: reason.into(),
+            retry_after: None,
+        }
+    }
+}
+
+/// Sends a request to its target and gives the answer to the caller.
+///
+/// # Errors
+///
+/// Fails if the answer did not arrive whole.
+pub async fn execute(run: &mut RequestRun, handle: &mut AttemptHandle) -> Result<()> {
+    let dispatch = dispatch(run, handle);
+    let sent = handle.link.try_send(Message::Dispatch(dispatch));
+    sent.map_err(|_| AttemptFailure::new(AttemptEvent::NeverSent, "link_closed"))?;
+    handle.is_running = true;
+    let deadline = run.deadline;
+    let head = receive_head(handle, deadline).await?;
+    let is_token_answer = handle.kind == ServiceKind::Model && head.status == 200;
+    if is_token_answer && run.request.head.streamed {
+        return forward(run, handle, &head).await;
+    }
+    if run.is_answer_started() {
+        // A stream cannot be resumed with an error of the engine.
+        return Err(AttemptFailure::new(
+            AttemptEvent::AnswerBroken,
+            "resume_failed",
+        ));
+    }
+    let body = collect(handle, deadline).await?;
+    let body = if is_token_answer {
+        let broken = AttemptFailure::new(AttemptEvent::AnswerBroken, "malformed_tokens");
+        tokens::join_lines(&body).ok_or(broken)?
+    } else {
+        body.freeze()
+    };
+    run.respond_whole(&head, body, is_token_answer);
+    Ok(())
+}
+
+fn dispatch(run: &RequestRun, handle: &AttemptHandle) -> Dispatch {
+    let (request, head) = (&run.request, &run.request.head);
+    let remaining = run.deadline.saturating_duration_since(Instant::now());
+    let idempotency = (!handle.idempotent).then(|| IdempotencyScope {
+        key: run.idempotency_key(),
+        body_hash: request.body_hash(),
+        attempt_nonce: random(),
+    });
+    Dispatch {
+        request_id: Some(request_id_to_link(request.id)),
+        team: head.team.to_string(),
+        service: head.service.to_string(),
+        method: head.method.to_string(),
+        path: head.path.clone(),
+        headers: head.headers.clone(),
+        body: request.body.bytes.clone(),
+        priority: head.priority.into(),
+        remaining_ms: remaining.as_millis() as u64,
+        configuration_revision: handle.revision,
+        attempt: handle.query.attempt,
+        idempotency,
+        resume_token_index: run.tokens,
+        target_concurrency: handle.decision.limit,
+        kind: head
+            .kind
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        streamed: head.streamed && handle.kind == ServiceKind::Model,
+    }
+}
+
+async fn receive_head(handle: &mut AttemptHandle, deadline: Instant) -> Result<AnswerHead> {
+    match receive(handle, deadline).await? {
+        AnswerFrame::Head(head) => Ok(head),
+        _ => Err(AttemptFailure::new(
+            AttemptEvent::Interrupted,
+            "answer_without_head",
+        )),
+    }
+}
+
+/// Receives the next frame of the answer; frames that end the attempt become failures.
+async fn receive(handle: &mut AttemptHandle, deadline: Instant) -> Result<AnswerFrame> {
+    let received = timeout_at(deadline, handle.frames.recv()).await;
+    let frame = received
+        .map_err(|_| AttemptFailure::new(AttemptEvent::DeadlinePassed, "deadline"))?
+        .ok_or_else(|| AttemptFailure::new(AttemptEvent::Oversized, "answer_too_large"))?;
+    handle.consumed(&frame);
+    match frame {
+        AnswerFrame::Failed(failed) => {
+            end(handle, failed.load);
+            Err(AttemptFailure::new(
+                failure_event(failed.outcome()),
+                failed.reason,
+            ))
+        }
+        AnswerFrame::LinkLost => {
+            handle.is_running = false;
+            Err(AttemptFailure::new(AttemptEvent::LinkLost, "link_lost"))
+        }
+        AnswerFrame::Refused(refused) => {
+            end(handle, refused.load);
+            let refusal = refusal(refused.reason());
+            let after = Duration::from_millis(refused.retry_after_ms);
+            Err(AttemptFailure {
+                event: AttemptEvent::Refused(refusal),
+                reason: Cow::Borrowed(refusal.as_str()),
+                retry_after: (!after.is_zero()).then_some(after),
+            })
+        }
+        frame => Ok(frame),
+    }
+}
+
+fn end(handle: &mut AttemptHandle, load: Option<link::TargetLoad>) {
+    handle.is_running = false;
+    handle.load = load.map(|load| TargetLoad {
+        in_flight: load.in_flight,
+        concurrency: load.concurrency,
+        draining: load.draining,
+    });
+}
+
+fn check_end(handle: &mut AttemptHandle, sums: &AnswerSums, sent: &AnswerEnd) -> Result<()> {
+    end(handle, sent.load);
+    if sums.matches(sent) {
+        return Ok(());
+    }
+    Err(AttemptFailure::new(
+        AttemptEvent::AnswerBroken,
+        "sums_differ",
+    ))
+}
+
+/// Collects the payload of an answer and checks its sums.
+async fn collect(handle: &mut AttemptHandle, deadline: Instant) -> Result<BytesMut> {
+    let mut sums = AnswerSums::default();
+    let mut body = BytesMut::new();
+    loop {
+        match receive(handle, deadline).await? {
+            AnswerFrame::Chunk(chunk) => {
+                if !accept(handle, &mut sums, &chunk)? {
+                    continue;
+                }
+                if body.len() + chunk.payload.len() > MAX_ANSWER_BYTES {
+                    let event = AttemptEvent::Oversized;
+                    return Err(AttemptFailure::new(event, "answer_too_large"));
+                }
+                body.extend_from_slice(&chunk.payload);
+            }
+            AnswerFrame::End(end) => {
+                check_end(handle, &sums, &end)?;
+                return Ok(body);
+            }
+            _ => handle.drop_frame("second head"),
+        }
+    }
+}
+
+/// Gives token lines to the caller as they arrive.
+async fn forward(
+    run: &mut RequestRun,
+    handle: &mut AttemptHandle,
+    head: &AnswerHead,
+) -> Result<()> {
+    let mut sums = AnswerSums::default();
+    loop {
+        match receive(handle, run.deadline).await? {
+            AnswerFrame::Chunk(chunk) => {
+                if !accept(handle, &mut sums, &chunk)? {
+                    continue;
+                }
+                let lines = tokens::count_lines(&chunk.payload);
+                let lines = lines.filter(|_| chunk.token_index == run.tokens);
+                let fault = AttemptFailure::new(AttemptEvent::Interrupted, "token_gap");
+                let lines = lines.ok_or(fault)?;
+                run.send_tokens(head, chunk.payload, lines).await?;
+            }
+            AnswerFrame::End(end) => {
+                check_end(handle, &sums, &end)?;
+                return run.send_stream_end(head).await;
+            }
+            _ => handle.drop_frame("second head"),
+        }
+    }
+}
+
+/// Places a chunk: `false` if it has to be left out.
+fn accept(
+    handle: &AttemptHandle,
+    sums: &mut AnswerSums,
+    chunk: &link::AnswerChunk,
+) -> Result<bool> {
+    match sums.accept(chunk) {
+        ChunkPlace::Next => Ok(true),
+        ChunkPlace::Duplicate => {
+            handle.drop_frame("chunk received before");
+            Ok(false)
+        }
+        ChunkPlace::Gap => {
+            handle.drop_frame("chunk after a gap");
+            Err(AttemptFailure::new(AttemptEvent::Interrupted, "chunk_gap"))
+        }
+    }
+}
+
+fn failure_event(outcome: FailureOutcome) -> AttemptEvent {
+    match outcome {
+        FailureOutcome::Interrupted => AttemptEvent::Interrupted,
+        FailureOutcome::NotRun => AttemptEvent::NotRun,
+        FailureOutcome::Unknown | FailureOutcome::Unspecified => AttemptEvent::Unknown,
+    }
+}
+
+fn refusal(reason: RefusalReason) -> DispatchRefusal {
+    match reason {
+        RefusalReason::AnswerNotStored => DispatchRefusal::AnswerNotStored,
+        RefusalReason::Deadline => DispatchRefusal::Deadline,
+        RefusalReason::Draining => DispatchRefusal::Draining,
+        RefusalReason::Full => DispatchRefusal::Full,
+        RefusalReason::KeyInUse => DispatchRefusal::KeyInUse,
+        RefusalReason::KeyReused => DispatchRefusal::KeyReused,
+        RefusalReason::StaleRevision => DispatchRefusal::StaleRevision,
+        RefusalReason::TableDown => DispatchRefusal::TableDown,
+        RefusalReason::TargetDown | RefusalReason::Unspecified => DispatchRefusal::TargetDown,
+        RefusalReason::Tombstone => DispatchRefusal::Tombstone,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/targets.rs
@@ -0,0 +1,110 @@
+//! Instances of the platform's list, and the links to their agents.
+
+pub mod agent_link;
+
+use {
+    super::{context::EntryContext, peers},
+    crate::{
+        constants::INSTANCE_LIST_INTERVAL,
+        platform::{InstanceList, ListedInstance, ListedRole, ListedState},
+    },
+    sassafrasslip_core::{
+        events::LogEvent::{
+            InstanceJoined, InstanceLeft, PlatformRecovered, PlatformUnavailable, TargetDraining,
+        },
+        log_event,
+        membership::{TargetKey, TargetListing},
+    },
+    std::{collections::HashMap, sync::Arc},
+    tokio::time::{MissedTickBehavior, interval},
+    tokio_util::sync::{CancellationToken, DropGuard},
+};
+
+/// Reads the instance list again and again, and keeps one link for each listed agent and peer.
+pub async fn follow_instances(context: Arc<EntryContext>, list: Arc<dyn InstanceList>) {
+    let mut targets: HashMap<TargetKey, DropGuard> = HashMap::new();
+    let mut peer_links = peers::PeerLinks::default();
+    let mut is_failing = false;
+    let mut ticks = interval(INSTANCE_LIST_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match list.list().await {
+            Ok(instances) => {
+                if is_failing {
+                    log_event!(PlatformRecovered, call = "instances");
+                }
+                is_failing = false;
+                peer_links.apply(&context, &instances);
+                apply_targets(&context, instances, &mut targets);
+            }
+            Err(error) => {
+                // The last known list stays in use.
+                if !is_failing {
+                    log_event!(PlatformUnavailable, call = "instances", error = error);
+                }
+                is_failing = true;
+            }
+        }
+    }
+}
+
+fn apply_targets(
+    context: &Arc<EntryContext>,
+    instances: Vec<ListedInstance>,
+    links: &mut HashMap<TargetKey, DropGuard>,
+) {
+    let listings: Vec<_> = instances.into_iter().filter_map(target_listing).collect();
+    let mut state = context.state();
+    state.membership.apply_view(&context.current_view());
+    let changes = state.membership.apply_list(listings);
+    let listing = |key: &TargetKey| {
+        let target = state.membership.target(*key)?;
+        Some((*key, target.listing.clone()))
+    };
+    let joined: Vec<_> = changes.joined.iter().filter_map(listing).collect();
+    let leaving: Vec<_> = changes.leaving.iter().filter_map(listing).collect();
+    drop(state);
+    for key in changes.removed {
+        // Dropping the guard stops the task of the link.
+        links.remove(&key);
+    }
+    for (_, listing) in leaving {
+        log_event!(
+            TargetDraining,
+            target = listing.name,
+            source = "instance list"
+        );
+    }
+    for (key, listing) in joined {
+        log_event!(InstanceJoined, instance = listing.name, role = "target");
+        links.insert(key, spawn_link(context, key, listing));
+    }
+}
+
+fn target_listing(instance: ListedInstance) -> Option<TargetListing> {
+    if instance.role != ListedRole::Target {
+        return None;
+    }
+    Some(TargetListing {
+        name: instance.instance,
+        availability_zone: instance.availability_zone,
+        service: instance.service?,
+        group: instance.group,
+        link_address: instance.link_address,
+        leaving: instance.state == ListedState::Leaving,
+    })
+}
+
+fn spawn_link(context: &Arc<EntryContext>, key: TargetKey, listing: TargetListing) -> DropGuard {
+    let (stop, context) = (CancellationToken::new(), Arc::clone(context));
+    let guard = stop.clone().drop_guard();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = agent_link::keep(&context, key, &listing) => {}
+            () = stop.cancelled() => {}
+        }
+        log_event!(InstanceLeft, instance = listing.name, role = "target");
+    });
+    guard
+}
--- /dev/null
+++ b/crates/daemon/src/entry/targets/agent_link.rs
@@ -0,0 +1,200 @@
+//! Link to one agent.
+
+use {
+    crate::{
+        constants::{LINK_RETRY_PAUSE, REPORT_INTERVAL},
+        entry::{
+            configuration_exchange,
+            context::EntryContext,
+            dispatcher::pending::{self, AnswerFrame},
+        },
+        link::{LinkConnection, LinkSender, open_link},
+    },
+    sassafrasslip_core::{
+        events::LogEvent::{LinkClosed, LinkOpened, TargetDraining, TargetUnhealthy},
+        ids::KindName,
+        log_event,
+        membership::{AgentFacts, AgentStatus, ServiceKind, TargetKey, TargetListing, TargetLoad},
+    },
+    sassafrasslip_proto::link::{self, AgentReport, Hello, link_frame::Message},
+    std::sync::Arc,
+    tokio::time::sleep,
+};
+
+/// Keeps a link open to an agent, for as long as the future is polled.
+pub async fn keep(context: &Arc<EntryContext>, key: TargetKey, listing: &TargetListing) {
+    let mut is_reported = false;
+    loop {
+        match run(context, key, listing).await {
+            Ok(()) => is_reported = false,
+            Err(fault) if !is_reported => {
+                log_event!(LinkClosed, target = listing.name, fault = fault);
+                is_reported = true;
+            }
+            // One line tells of an unreachable agent, not one each half second.
+            Err(_) => {}
+        }
+        sleep(LINK_RETRY_PAUSE).await;
+    }
+}
+
+/// Ends all attempts at the target when its link closes, however that happens.
+struct LinkGuard<'a> {
+    context: &'a Arc<EntryContext>,
+    key: TargetKey,
+}
+
+impl Drop for LinkGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.context.state();
+        state.links.remove(self.key);
+        state.membership.disconnected(self.key);
+        pending::lose_link(&mut state, self.key);
+        drop(state);
+        self.context.metrics.open_links("agent").dec();
+        self.context.wake_all();
+    }
+}
+
+/// Opens the link and serves it until it closes; fails if it cannot be opened.
+async fn run(
+    context: &Arc<EntryContext>,
+    key: TargetKey,
+    listing: &TargetListing,
+) -> Result<(), String> {
+    let opened = open_link(listing.link_address, context.hello()).await;
+    let connection = opened.map_err(|error| error.to_string())?;
+    let facts = check_hello(&connection.hello, listing)?;
+    let (known, sender) = (facts.revision, connection.sender.clone());
+    {
+        let mut state = context.state();
+        state.membership.connected(key, facts);
+        state.links.insert(key, sender.clone());
+    }
+    context.metrics.open_links("agent").inc();
+    let _guard = LinkGuard { context, key };
+    log_event!(
+        LinkOpened,
+        target = listing.name,
+        address = listing.link_address
+    );
+    context.wake(&listing.service);
+    let reason = tokio::select! {
+        reason = receive(context, key, listing, connection) => reason,
+        () = notify(context, &sender, known) => "link queue is closed".to_owned(),
+    };
+    log_event!(LinkClosed, target = listing.name, fault = reason);
+    Ok(())
+}
+
+fn check_hello(hello: &Hello, listing: &TargetListing) -> Result<AgentFacts, String> {
+    if hello.instance != listing.name.as_str() {
+        return Err(format!("the agent calls itself {}", hello.instance));
+    }
+    let facts = hello.service.as_ref();
+    let facts = facts.ok_or("the agent gives no service facts")?;
+    if facts.service != listing.service.as_str() {
+        return Err(format!("the agent provides the service {}", facts.service));
+    }
+    let kind = match facts.kind() {
+        link::ServiceKind::Model => ServiceKind::Model,
+        link::ServiceKind::Plain => ServiceKind::Plain,
+        link::ServiceKind::Unspecified => return Err("the service has no kind".to_owned()),
+    };
+    Ok(AgentFacts {
+        kind,
+        concurrency: facts.concurrency,
+        idempotent_methods: facts.idempotent_methods.clone(),
+        revision: hello.configuration_revision,
+    })
+}
+
+/// Sends the configuration to an agent that is behind, and a notice each second, so that the
+/// agent does not take the link for a silent one.
+async fn notify(context: &EntryContext, sender: &LinkSender, known: u64) {
+    let view = context.current_view();
+    if known < view.revision() {
+        let notice = configuration_exchange::notice_with_snapshot(&view);
+        if sender.send(notice).await.is_err() {
+            return;
+        }
+    }
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        let notice = configuration_exchange::notice(&context.current_view());
+        if sender.send(notice).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn receive(
+    context: &Arc<EntryContext>,
+    key: TargetKey,
+    listing: &TargetListing,
+    mut connection: LinkConnection,
+) -> String {
+    loop {
+        let message = match connection.receive().await {
+            Ok(Some(message)) => message,
+            Ok(None) => return "agent closed the link".to_owned(),
+            Err(error) => return error.to_string(),
+        };
+        match AnswerFrame::from_message(message) {
+            Ok(frame) => pending::deliver(context, key, &listing.name, frame),
+            Err(other) => match *other {
+                Message::AgentReport(report) => {
+                    apply_report(context, key, listing, &connection.sender, report);
+                }
+                other => configuration_exchange::handle(context, &connection.sender, other),
+            },
+        }
+    }
+}
+
+fn apply_report(
+    context: &Arc<EntryContext>,
+    key: TargetKey,
+    listing: &TargetListing,
+    sender: &LinkSender,
+    report: AgentReport,
+) {
+    configuration_exchange::catch_up(context, sender, report.configuration_revision);
+    let status = agent_status(report);
+    let healthy = status.healthy;
+    let mut state = context.state();
+    let was_healthy = state
+        .membership
+        .target(key)
+        .is_none_or(|target| target.status.healthy);
+    let starts_to_drain = state.membership.reported(key, status);
+    drop(state);
+    if starts_to_drain {
+        log_event!(TargetDraining, target = listing.name, source = "agent");
+    }
+    if was_healthy && !healthy {
+        log_event!(TargetUnhealthy, target = listing.name);
+    }
+    context.wake(&listing.service);
+}
+
+fn agent_status(report: AgentReport) -> AgentStatus {
+    let load = report.load.unwrap_or_default();
+    let costs = report.kind_costs.into_iter().filter_map(|cost| {
+        let kind: KindName = cost.kind.parse().ok()?;
+        Some((kind, cost.hot_rank_cost))
+    });
+    AgentStatus {
+        load: TargetLoad {
+            in_flight: load.in_flight,
+            concurrency: load.concurrency,
+            draining: load.draining,
+        },
+        healthy: report.target_healthy,
+        revision: report.configuration_revision,
+        kind_costs: costs.collect(),
+        cached_prefixes: report.cached_prefixes,
+        mean_step_us: report.mean_step_us,
+        map_version: report.map_version,
+    }
+}
