Test the entry and its decisions

Cause: routing, limits, retries and the entry had no tests besides whole and streamed answers. A refused body is read and dropped for a while, because the reset of a connection with unread bytes can overtake the refusal.

--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -81,7 +81,7 @@
     pub fn admit(&mut self, team: &TeamName, limits: TeamLimits, now: Instant) -> Result<()> {
         self.forget_idle(now);
         let rate = f64::from(limits.rate);
-        let state = self.state(team, rate, now);
+        let state = self.state(team, now);
         state.refill(rate, now);
         if state.in_flight >= limits.concurrency {
             return Err(TeamRefusal::Concurrency);
@@ -112,7 +112,8 @@
             state.peer_in_flight = 0;
         }
         for (team, in_flight) in usage {
-            self.state(&team, 0.0, now).peer_in_flight += in_flight;
+            let state = self.state(&team, now);
+            state.peer_in_flight = state.peer_in_flight.saturating_add(in_flight);
         }
     }
 
@@ -130,11 +131,12 @@
         teams.map(|(team, state)| (team, state.in_flight))
     }
 
-    fn state(&mut self, team: &TeamName, tokens: f64, now: Instant) -> &mut TeamState {
+    fn state(&mut self, team: &TeamName, now: Instant) -> &mut TeamState {
         self.teams.entry(team.clone()).or_insert(TeamState {
             in_flight: 0,
             peer_in_flight: 0,
-            tokens,
+            // The first refill reduces it to the rate of the team.
+            tokens: f64::INFINITY,
             refilled_at: now,
         })
     }
--- a/crates/core/src/membership/target.rs
+++ b/crates/core/src/membership/target.rs
@@ -169,7 +169,8 @@
     /// Returns the best estimate of the requests in flight: the agent's figure plus what this
     /// entry has sent since, and never less than the entry's own requests.
     pub fn in_flight(&self) -> u32 {
-        let estimate = self.status.load.in_flight + self.sent_since_report;
+        let reported = self.status.load.in_flight;
+        let estimate = reported.saturating_add(self.sent_since_report);
         estimate.max(self.own_in_flight)
     }
 
@@ -215,7 +216,11 @@
 
     pub(super) fn report(&mut self, mut status: AgentStatus) -> bool {
         let starts_to_drain = status.load.draining && !self.status.load.draining;
-        let costs = status.kind_costs.iter();
+        // A cost that is no number would make the order of scores meaningless.
+        let costs = status
+            .kind_costs
+            .iter()
+            .filter(|(_, cost)| cost.is_finite() && *cost >= 0.0);
         self.kind_costs = costs.map(|(kind, cost)| (kind_hash(kind), *cost)).collect();
         status.cached_prefixes.sort_unstable();
         self.status = status;
--- a/crates/core/src/routing/candidate.rs
+++ b/crates/core/src/routing/candidate.rs
@@ -4,7 +4,7 @@
     super::{RoutePolicy, RouteRequest},
     crate::{
         explanation::CandidateFigures,
-        membership::{Membership, Target, TargetKey, target::kind_hash},
+        membership::{Membership, Target, TargetKey},
     },
     std::fmt,
 };
@@ -64,19 +64,18 @@
 }
 
 impl Candidate {
-    /// Weighs a target for a request.
+    /// Weighs a target for a request whose kind has the hash `kind`.
     pub fn weigh(
         key: TargetKey,
         target: &Target,
         request: &RouteRequest<'_>,
+        kind: Option<u64>,
         policy: &RoutePolicy,
     ) -> Self {
         let limit = effective_limit(target, policy);
         let in_flight = target.in_flight();
         let own_zone = target.listing.availability_zone == policy.own_zone;
-        let added = request
-            .kind
-            .map_or(1.0, |kind| target.kind_cost(kind_hash(kind)));
+        let added = kind.map_or(1.0, |kind| target.kind_cost(kind));
         let load = (f64::from(in_flight) + f64::from(added)) / f64::from(limit);
         let zone_cost = target.zone_cost.or_team(policy.team_zone_cost.as_ref());
         let zone_cost = if own_zone { 0 } else { zone_cost.number };
--- a/crates/core/src/routing/decision.rs
+++ b/crates/core/src/routing/decision.rs
@@ -4,7 +4,7 @@
     super::{Candidate, Exclusion, RoutePolicy, RouteRequest},
     crate::{
         configuration::SettingSource,
-        membership::{Membership, TargetKey},
+        membership::{Membership, TargetKey, target::kind_hash},
     },
     rand::{Rng, RngExt},
     std::{error::Error, fmt, result},
@@ -129,9 +129,10 @@
 
     fn weigh(&mut self, membership: &Membership, request: &RouteRequest<'_>, policy: &RoutePolicy) {
         self.candidates.clear();
+        let kind = request.kind.map(kind_hash);
         for key in membership.of_service(request.service) {
             if let Some(target) = membership.target(*key) {
-                let candidate = Candidate::weigh(*key, target, request, policy);
+                let candidate = Candidate::weigh(*key, target, request, kind, policy);
                 self.candidates.push(candidate);
             }
         }
--- /dev/null
+++ b/crates/core/tests/limits.rs
@@ -0,0 +1,221 @@
+//! Guards team limits and the fairness of the queue.
+
+use {
+    sassafrasslip_core::{
+        ids::{ServiceName, TeamName},
+        limits::{
+            QueueLimits, QueueRefusal, TeamLedger, TeamLimits, TeamRefusal, TicketKey, WaitQueue,
+            WaitRequest,
+        },
+    },
+    sassafrasslip_testkit::test_cases,
+    std::{collections::HashMap, time::Duration},
+    tokio::time::Instant,
+};
+
+const LIMITS: TeamLimits = TeamLimits {
+    concurrency: 3,
+    rate: 10,
+};
+
+fn team(name: &str) -> TeamName {
+    name.parse().unwrap()
+}
+
+fn service() -> ServiceName {
+    "drafting".parse().unwrap()
+}
+
+fn check_admitted(tries: u32, ends_each: bool, after: Duration, expected: u32) {
+    let (mut ledger, start) = (TeamLedger::default(), Instant::now());
+    let shop = team("shop");
+    let mut admitted = 0;
+    for now in [start, start + after] {
+        for _ in 0..tries {
+            if ledger.admit(&shop, LIMITS, now).is_ok() {
+                admitted += 1;
+                if ends_each {
+                    ledger.release(&shop);
+                }
+            }
+        }
+    }
+    assert_eq!(admitted, expected);
+}
+
+test_cases! {
+    fn check_admitted(tries: u32, ends_each: bool, after: Duration, expected: u32);
+    concurrency_is_bounded: (20, false, Duration::from_secs(1), 3);
+    rate_is_bounded: (20, true, Duration::ZERO, 10);
+    rate_recovers_with_time: (20, true, Duration::from_millis(500), 15);
+    unused_rate_is_not_saved_up: (20, true, Duration::from_secs(60), 20);
+}
+
+#[test]
+fn one_team_does_not_use_up_the_limit_of_another() {
+    let (mut ledger, now) = (TeamLedger::default(), Instant::now());
+    while ledger.admit(&team("large"), LIMITS, now).is_ok() {}
+    assert_eq!(ledger.admit(&team("small"), LIMITS, now), Ok(()));
+}
+
+#[test]
+fn team_known_from_peers_may_start_at_once() {
+    let (mut ledger, now) = (TeamLedger::default(), Instant::now());
+    ledger.set_peer_usage([(team("shop"), 2), (team("shop"), 3)], now);
+    assert_eq!(ledger.admit(&team("shop"), LIMITS, now), Ok(()));
+    assert_eq!(ledger.fleet_in_flight(&team("shop")), 6);
+    ledger.set_peer_usage([], now);
+    assert_eq!(ledger.fleet_in_flight(&team("shop")), 1);
+}
+
+#[test]
+fn refusal_says_when_the_rate_allows_the_next_request() {
+    let (mut ledger, now) = (TeamLedger::default(), Instant::now());
+    let shop = team("shop");
+    for _ in 0..LIMITS.rate {
+        ledger.admit(&shop, LIMITS, now).unwrap();
+        ledger.release(&shop);
+    }
+    let refused = ledger.admit(&shop, LIMITS, now);
+    let Err(TeamRefusal::Rate { retry_after }) = refused else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(ledger.admit(&shop, LIMITS, now + retry_after), Ok(()));
+}
+
+#[test]
+fn names_of_idle_teams_do_not_pile_up() {
+    let (mut ledger, start) = (TeamLedger::default(), Instant::now());
+    for number in 0..20_000 {
+        let now = start + Duration::from_millis(number);
+        let name = team(&format!("team-{number}"));
+        ledger.admit(&name, LIMITS, now).unwrap();
+        ledger.release(&name);
+    }
+    assert!(format!("{ledger:?}").matches("TeamName(").count() < 10_000);
+}
+
+const QUEUE: QueueLimits = QueueLimits {
+    length: 6,
+    wait: Duration::from_secs(2),
+};
+
+struct Waiters {
+    queue: WaitQueue,
+    ledger: TeamLedger,
+    names: HashMap<TicketKey, String>,
+    now: Instant,
+}
+
+impl Waiters {
+    fn new() -> Self {
+        Self {
+            queue: WaitQueue::default(),
+            ledger: TeamLedger::default(),
+            names: HashMap::new(),
+            now: Instant::now(),
+        }
+    }
+
+    /// Queues a request that is named by team, priority and number.
+    fn push(&mut self, name: &str) -> Result<Option<String>, QueueRefusal> {
+        let mut parts = name.split('-');
+        let request = WaitRequest {
+            service: service(),
+            team: team(parts.next().unwrap()),
+            priority: parts.next().unwrap().parse().unwrap(),
+            deadline: self.now + Duration::from_secs(30),
+        };
+        let (ticket, displaced) = self.queue.push(request, QUEUE, 1, self.now)?;
+        self.names.insert(ticket, name.to_owned());
+        Ok(displaced.map(|ticket| self.names[&ticket].clone()))
+    }
+
+    /// Takes a request and counts it as in flight for its team.
+    fn pop(&mut self) -> Option<String> {
+        let ticket = self.queue.peek(&service(), &self.ledger)?;
+        self.queue.remove(ticket);
+        let name = self.names[&ticket].clone();
+        let owner = team(name.split('-').next().unwrap());
+        let limits = TeamLimits {
+            concurrency: 100,
+            rate: 100,
+        };
+        self.ledger.admit(&owner, limits, self.now).unwrap();
+        Some(name)
+    }
+}
+
+fn check_order(pushed: &[&str], expected: &[&str]) {
+    let mut waiters = Waiters::new();
+    for name in pushed {
+        waiters.push(name).unwrap();
+    }
+    let order: Vec<_> = std::iter::from_fn(|| waiters.pop()).collect();
+    assert_eq!(order, expected);
+    assert!(waiters.queue.is_empty());
+}
+
+test_cases! {
+    fn check_order(pushed: &[&str], expected: &[&str]);
+    one_team_waits_in_order: (&["a-3-1", "a-3-2", "a-3-3"], &["a-3-1", "a-3-2", "a-3-3"]);
+    urgent_request_of_a_team_overtakes: (&["a-3-1", "a-1-2"], &["a-1-2", "a-3-1"]);
+    teams_take_turns:
+        (&["a-3-1", "a-3-2", "a-3-3", "b-3-1"], &["a-3-1", "b-3-1", "a-3-2", "a-3-3"]);
+    urgency_does_not_starve_another_team:
+        (&["a-0-1", "a-0-2", "a-0-3", "b-7-1"], &["a-0-1", "b-7-1", "a-0-2", "a-0-3"]);
+}
+
+#[test]
+fn team_busy_at_peers_comes_later() {
+    let mut waiters = Waiters::new();
+    waiters.push("a-3-1").unwrap();
+    waiters.push("b-3-1").unwrap();
+    waiters.ledger.set_peer_usage([(team("a"), 9)], waiters.now);
+    assert_eq!(waiters.pop().as_deref(), Some("b-3-1"));
+}
+
+#[test]
+fn large_team_gives_way_when_the_queue_is_full() {
+    let mut waiters = Waiters::new();
+    for number in 0..5 {
+        waiters.push(&format!("large-3-{number}")).unwrap();
+    }
+    waiters.push("large-1-5").unwrap();
+    assert_eq!(waiters.push("large-0-6"), Err(QueueRefusal::QueueFull));
+    // The least urgent and newest request of the team that waits most gives way.
+    assert_eq!(waiters.push("small-3-1"), Ok(Some("large-3-4".to_owned())));
+    assert_eq!(waiters.queue.len(), QUEUE.length);
+}
+
+fn check_early_refusal(mean: Duration, waiting: u32, slots: u32, deadline: Duration, late: bool) {
+    let (mut queue, now) = (WaitQueue::default(), Instant::now());
+    let push = |queue: &mut WaitQueue, deadline: Duration| {
+        let request = WaitRequest {
+            service: service(),
+            team: team("shop"),
+            priority: 3,
+            deadline: now + deadline,
+        };
+        queue.push(request, QUEUE, slots, now)
+    };
+    for _ in 0..waiting {
+        push(&mut queue, Duration::from_secs(30)).unwrap();
+    }
+    queue.record_duration(&service(), mean);
+    let refused = matches!(push(&mut queue, deadline), Err(QueueRefusal::Late { .. }));
+    assert_eq!(refused, late);
+}
+
+test_cases! {
+    fn check_early_refusal(
+        mean: Duration, waiting: u32, slots: u32, deadline: Duration, late: bool
+    );
+    request_that_starts_in_time_waits:
+        (Duration::from_millis(100), 3, 1, Duration::from_secs(1), false);
+    request_that_would_miss_its_deadline_is_refused:
+        (Duration::from_millis(100), 3, 1, Duration::from_millis(300), true);
+    request_that_would_wait_too_long_is_refused:
+        (Duration::from_secs(1), 3, 1, Duration::from_secs(30), true);
+    more_slots_shorten_the_wait: (Duration::from_secs(1), 3, 4, Duration::from_secs(30), false);
+}
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -21,6 +21,10 @@
 /// Memory for the bodies of all requests in flight, in bytes; a quarter of the 256 MB that an
 /// entry may use.
 pub const REQUEST_BODY_MEMORY: usize = 64 * 1024 * 1024;
+/// Bytes of a refused body that are read and dropped, so that the caller gets the refusal.
+pub const DISCARDED_BYTES: usize = 4 * MAX_BODY_BYTES;
+/// Time for which the rest of a refused body is read and dropped.
+pub const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest answer that is collected whole, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Bytes of a streamed answer that wait for a slow caller before the answer is cut.
--- a/crates/daemon/src/entry/callers/body.rs
+++ b/crates/daemon/src/entry/callers/body.rs
@@ -2,7 +2,7 @@
 
 use {
     super::answer::Refusal,
-    crate::constants::MAX_BODY_BYTES,
+    crate::constants::{DISCARD_TIMEOUT, DISCARDED_BYTES, MAX_BODY_BYTES},
     bytes::{Bytes, BytesMut},
     http::StatusCode,
     http_body_util::BodyExt,
@@ -10,7 +10,7 @@
     std::{result, sync::Arc},
     tokio::{
         sync::{OwnedSemaphorePermit, Semaphore},
-        time::{Instant, timeout_at},
+        time::{Instant, timeout, timeout_at},
     },
 };
 
@@ -47,19 +47,42 @@
     deadline: Instant,
 ) -> Result<RequestBody> {
     if incoming.size_hint().lower() > MAX_BODY_BYTES as u64 {
+        tokio::spawn(discard(incoming));
         return Err(oversized());
     }
     let late = || {
         let message = "the caller did not send its request in time";
         Refusal::not_run(StatusCode::REQUEST_TIMEOUT, "slow_caller", message)
     };
-    let reading = read_frames(incoming, memory);
+    let reading = async {
+        let mut incoming = incoming;
+        let read = read_frames(&mut incoming, memory).await;
+        if read.is_err() {
+            tokio::spawn(discard(incoming));
+        }
+        read
+    };
     timeout_at(deadline, reading)
         .await
         .unwrap_or_else(|_| Err(late()))
 }
 
-async fn read_frames(mut incoming: Incoming, memory: &Arc<Semaphore>) -> Result<RequestBody> {
+/// Reads and drops the rest of a refused body for a while. A connection that closes with unread
+/// bytes is reset, and the reset can overtake the refusal on its way to the caller.
+async fn discard(mut incoming: Incoming) {
+    let reading = async {
+        let mut length = 0;
+        while let Some(Ok(frame)) = incoming.frame().await {
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+}
+
+async fn read_frames(incoming: &mut Incoming, memory: &Arc<Semaphore>) -> Result<RequestBody> {
     let mut bytes = BytesMut::new();
     let mut permits: Option<OwnedSemaphorePermit> = None;
     while let Some(frame) = incoming.frame().await {
--- a/crates/daemon/src/entry/dispatcher.rs
+++ b/crates/daemon/src/entry/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Life of one request: admission, attempts, outcome.
 
 pub mod attempt;
+pub mod ending;
 pub mod pending;
 pub mod run;
 pub mod settings;
@@ -10,11 +11,8 @@
 
 use {
     self::{
-        attempt::AttemptFailure,
-        pending::AttemptHandle,
-        run::{RequestRun, RunEnd},
-        settings::RunSettings,
-        waiting::AcquireError,
+        attempt::AttemptFailure, ending::RunEnd, pending::AttemptHandle, run::RequestRun,
+        settings::RunSettings, waiting::AcquireError,
     },
     super::{
         callers::{
--- a/crates/daemon/src/entry/dispatcher/run.rs
+++ b/crates/daemon/src/entry/dispatcher/run.rs
@@ -6,13 +6,13 @@
         pending::AttemptHandle,
         settings::RunSettings,
         tokens,
-        waiting::{AcquireError, RouteQuery},
+        waiting::RouteQuery,
     },
     crate::{
         constants::{MAX_ANSWER_BYTES, STREAM_BUFFER_BYTES},
         entry::{
             callers::{
-                answer::{self, AnswerBody, CallerResponse, Refusal, StreamPart},
+                answer::{self, AnswerBody, CallerResponse, StreamPart},
                 request::{CallerRequest, is_forwarded},
             },
             context::EntryContext,
@@ -21,19 +21,14 @@
     bytes::Bytes,
     http::{HeaderName, HeaderValue, Response, StatusCode, header::CONTENT_TYPE},
     sassafrasslip_core::{
-        events::LogEvent::{
-            AnswerCut, RequestAnswered, RequestRetried, RetryBudgetExhausted, RouteDecided,
-            StreamResumed,
-        },
+        events::LogEvent::{RequestRetried, RetryBudgetExhausted, RouteDecided, StreamResumed},
         explanation::{AttemptRecord, CandidateFigures, RequestExplanation},
-        limits::QueueRefusal,
         log_event,
         membership::TargetKey,
         retry::{AttemptEvent, DispatchRefusal, RequestOutcome},
-        routing::RouteError,
     },
     sassafrasslip_proto::link::AnswerHead,
-    std::{borrow::Cow, sync::Arc, time::Duration},
+    std::{borrow::Cow, sync::Arc},
     tokio::{
         sync::{mpsc, oneshot},
         time::{Instant, timeout_at},
@@ -43,19 +38,6 @@
 /// Candidates that a log line shows.
 const LOGGED_CANDIDATES: usize = 4;
 
-/// How a request ended.
-#[derive(Clone, Debug)]
-pub enum RunEnd {
-    /// The caller got the whole answer.
-    Answered,
-    /// The caller closed its connection.
-    CallerGone,
-    /// A streamed answer was cut.
-    Cut(Cow<'static, str>),
-    /// The request was refused, or its outcome is unknown.
-    Refused(Refusal),
-}
-
 /// Request that is being served.
 #[derive(Debug)]
 pub struct RequestRun {
@@ -74,7 +56,7 @@
     /// Tokens that have reached the caller.
     pub tokens: u64,
     tried: Vec<TargetKey>,
-    respond: Option<oneshot::Sender<CallerResponse>>,
+    pub(super) respond: Option<oneshot::Sender<CallerResponse>>,
     stream: Option<mpsc::Sender<StreamPart>>,
 }
 
@@ -122,7 +104,7 @@
         self.context.state().explanations.insert(explanation);
     }
 
-    fn explain(&self, change: impl FnOnce(&mut RequestExplanation)) {
+    pub(super) fn explain(&self, change: impl FnOnce(&mut RequestExplanation)) {
         let mut state = self.context.state();
         if let Some(explanation) = state.explanations.get_mut(self.request.id) {
             change(explanation);
@@ -202,7 +184,7 @@
         self.set_result(&failure.reason);
     }
 
-    fn set_result(&self, result: &str) {
+    pub(super) fn set_result(&self, result: &str) {
         self.explain(|explanation| {
             if let Some(attempt) = explanation.attempts.last_mut() {
                 attempt.result = Some(result.to_owned());
@@ -236,47 +218,6 @@
         true
     }
 
-    /// Ends the request as `not-run`, unless an earlier attempt may have run.
-    pub fn not_run(&self, status: StatusCode, failure: &AttemptFailure) -> RunEnd {
-        let reason = failure.reason.clone();
-        if self.maybe_ran {
-            return self.unknown(StatusCode::BAD_GATEWAY, failure);
-        }
-        let message = format!("the request was not run: {reason}");
-        let refusal = Refusal {
-            reason,
-            ..Refusal::not_run(status, "", message)
-        };
-        RunEnd::Refused(refusal.retry_after(self.after(failure)))
-    }
-
-    /// Ends the request with an unknown outcome.
-    pub fn unknown(&self, status: StatusCode, failure: &AttemptFailure) -> RunEnd {
-        let reason = failure.reason.clone();
-        let message = format!("the request may have run: {reason}");
-        let refusal = Refusal::unknown(status, reason, message);
-        RunEnd::Refused(refusal.retry_after(self.after(failure)))
-    }
-
-    fn after(&self, failure: &AttemptFailure) -> Duration {
-        failure.retry_after.unwrap_or(self.settings.retry_after)
-    }
-
-    /// Ends a request that got no target.
-    pub fn end_without_target(&self, error: AcquireError) -> RunEnd {
-        let (reason, message, after) = describe(error);
-        if self.is_answer_started() {
-            return RunEnd::Cut(Cow::Borrowed(reason));
-        }
-        let after = after.max(self.settings.retry_after);
-        let refusal = if self.maybe_ran {
-            Refusal::unknown(StatusCode::BAD_GATEWAY, reason, message)
-        } else {
-            Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, message)
-        };
-        RunEnd::Refused(refusal.retry_after(after))
-    }
-
     /// Sends a whole answer.
     pub fn respond_whole(&mut self, head: &AnswerHead, body: Bytes, is_token_answer: bool) {
         let mut response = Response::new(AnswerBody::whole(body));
@@ -337,85 +278,6 @@
         self.respond(response);
         sender
     }
-
-    /// Sends a refusal if one is due, and records the outcome.
-    pub fn finish(mut self, end: RunEnd) {
-        let request_id = self.request.id;
-        let (outcome, reason) = match end {
-            RunEnd::Answered => {
-                self.set_result("answered");
-                let attempts = self.attempt;
-                log_event!(
-                    RequestAnswered,
-                    request_id = request_id,
-                    attempts = attempts
-                );
-                (RequestOutcome::Answered, None)
-            }
-            RunEnd::CallerGone => (RequestOutcome::Unknown, Some("caller_gone".to_owned())),
-            RunEnd::Cut(reason) => {
-                log_event!(
-                    AnswerCut,
-                    request_id = request_id,
-                    reason = reason,
-                    tokens = self.tokens
-                );
-                (RequestOutcome::Unknown, Some(reason.into_owned()))
-            }
-            RunEnd::Refused(refusal) => {
-                refusal.log(request_id);
-                let (outcome, reason) = (refusal.outcome, refusal.reason.to_string());
-                if let Some(respond) = self.respond.take() {
-                    let _ = respond.send(refusal.into_response(request_id));
-                }
-                (outcome, Some(reason))
-            }
-        };
-        self.record(outcome, reason);
-    }
-
-    fn record(&self, outcome: RequestOutcome, reason: Option<String>) {
-        let service = self.request.head.service.as_str();
-        let known = reason.as_deref() != Some("unknown_service");
-        let service = if known { service } else { "" };
-        let duration = self.request.arrived.elapsed();
-        self.context
-            .metrics
-            .record(service, outcome.as_str(), duration);
-        self.explain(|explanation| {
-            explanation.outcome = outcome.to_string();
-            explanation.reason = reason;
-        });
-    }
-}
-
-fn describe(error: AcquireError) -> (&'static str, Cow<'static, str>, Duration) {
-    let none = Duration::ZERO;
-    match error {
-        AcquireError::Displaced => {
-            let message = "a request of a team that waits less took the place in the queue";
-            ("queue_full", Cow::Borrowed(message), none)
-        }
-        AcquireError::Queue(QueueRefusal::Late { expected_wait }) => {
-            let message = QueueRefusal::Late { expected_wait }.to_string();
-            ("queue_wait", Cow::Owned(message), expected_wait)
-        }
-        AcquireError::Queue(QueueRefusal::QueueFull) => (
-            "queue_full",
-            Cow::Owned(QueueRefusal::QueueFull.to_string()),
-            none,
-        ),
-        AcquireError::Route(RouteError::UnknownService) => (
-            "no_target",
-            Cow::Owned(RouteError::UnknownService.to_string()),
-            none,
-        ),
-        AcquireError::Route(error) => ("no_target", Cow::Owned(error.to_string()), none),
-        AcquireError::Waited => {
-            let message = "no target became free in the time that the request may wait";
-            ("queue_wait", Cow::Borrowed(message), none)
-        }
-    }
 }
 
 fn candidate_text(figures: &[CandidateFigures]) -> String {
--- a/crates/daemon/src/entry/dispatcher/waiting.rs
+++ b/crates/daemon/src/entry/dispatcher/waiting.rs
@@ -101,13 +101,21 @@
     limits: QueueLimits,
 ) -> Result<AttemptHandle> {
     let query = Arc::new(query);
-    let (receiver, guard) = match start(context, &query, limits) {
-        Ok(Started::Reserved(handle)) => return Ok(*handle),
-        Ok(Started::Queued(receiver, guard)) => (receiver, guard),
-        Err(error) => {
-            log_failure(&query, &error);
-            return Err(error);
-        }
+    let acquired = reserve_or_wait(context, &query, limits).await;
+    if let Err(error) = &acquired {
+        log_failure(&query, error);
+    }
+    acquired
+}
+
+async fn reserve_or_wait(
+    context: &Arc<EntryContext>,
+    query: &Arc<RouteQuery>,
+    limits: QueueLimits,
+) -> Result<AttemptHandle> {
+    let (receiver, guard) = match start(context, query, limits)? {
+        Started::Reserved(handle) => return Ok(*handle),
+        Started::Queued(receiver, guard) => (receiver, guard),
     };
     let latest = query.deadline.min(Instant::now() + limits.wait);
     let granted = timeout_at(latest, receiver).await;
@@ -167,24 +175,17 @@
 }
 
 fn log_failure(query: &RouteQuery, error: &AcquireError) {
-    let request_id = query.request_id;
-    match error {
-        AcquireError::Queue(refusal) => {
-            log_event!(
-                QueueFull,
-                request_id = request_id,
-                service = query.service,
-                reason = refusal
-            );
-        }
-        AcquireError::Route(error) => {
-            log_event!(
-                RouteFailed,
-                request_id = request_id,
-                service = query.service,
-                reason = error
-            );
-        }
-        AcquireError::Displaced | AcquireError::Waited => {}
-    }
+    let (event, reason) = match error {
+        AcquireError::Displaced => (QueueFull, "displaced".to_owned()),
+        AcquireError::Queue(refusal) => (QueueFull, refusal.to_string()),
+        AcquireError::Route(error) => (RouteFailed, error.to_string()),
+        AcquireError::Waited => (RouteFailed, "waited too long".to_owned()),
+    };
+    let (request_id, service) = (query.request_id, &query.service);
+    log_event!(
+        event,
+        request_id = request_id,
+        service = service,
+        reason = reason
+    );
 }
--- a/crates/daemon/src/entry/targets/agent_link.rs
+++ b/crates/daemon/src/entry/targets/agent_link.rs
@@ -65,7 +65,7 @@
     let opened = open_link(listing.link_address, context.hello()).await;
     let connection = opened.map_err(|error| error.to_string())?;
     let facts = check_hello(&connection.hello, listing)?;
-    let (known, sender) = (facts.revision, connection.sender.clone());
+    let sender = connection.sender.clone();
     {
         let mut state = context.state();
         state.membership.connected(key, facts);
@@ -81,7 +81,7 @@
     context.wake(&listing.service);
     let reason = tokio::select! {
         reason = receive(context, key, listing, connection) => reason,
-        () = notify(context, &sender, known) => "link queue is closed".to_owned(),
+        () = notify(context, key, &sender) => "link queue is closed".to_owned(),
     };
     log_event!(LinkClosed, target = listing.name, fault = reason);
     Ok(())
@@ -109,22 +109,25 @@
     })
 }
 
-/// Sends the configuration to an agent that is behind, and a notice each second, so that the
-/// agent does not take the link for a silent one.
-async fn notify(context: &EntryContext, sender: &LinkSender, known: u64) {
-    let view = context.current_view();
-    if known < view.revision() {
-        let notice = configuration_exchange::notice_with_snapshot(&view);
-        if sender.send(notice).await.is_err() {
-            return;
-        }
-    }
+/// Tells an agent the revision in force each second, with the whole configuration while the agent
+/// is behind. The notices also keep the agent from taking the link for a silent one.
+async fn notify(context: &EntryContext, key: TargetKey, sender: &LinkSender) {
     loop {
-        sleep(REPORT_INTERVAL).await;
-        let notice = configuration_exchange::notice(&context.current_view());
+        let view = context.current_view();
+        let known = context
+            .state()
+            .membership
+            .target(key)
+            .map(|target| target.status.revision);
+        let notice = if known < Some(view.revision()) {
+            configuration_exchange::notice_with_snapshot(&view)
+        } else {
+            configuration_exchange::notice(&view)
+        };
         if sender.send(notice).await.is_err() {
             return;
         }
+        sleep(REPORT_INTERVAL).await;
     }
 }
 
@@ -144,7 +147,7 @@
             Ok(frame) => pending::deliver(context, key, &listing.name, frame),
             Err(other) => match *other {
                 Message::AgentReport(report) => {
-                    apply_report(context, key, listing, &connection.sender, report);
+                    apply_report(context, key, listing, report);
                 }
                 other => configuration_exchange::handle(context, &connection.sender, other),
             },
@@ -156,10 +159,8 @@
     context: &Arc<EntryContext>,
     key: TargetKey,
     listing: &TargetListing,
-    sender: &LinkSender,
     report: AgentReport,
 ) {
-    configuration_exchange::catch_up(context, sender, report.configuration_revision);
     let status = agent_status(report);
     let healthy = status.healthy;
     let mut state = context.state();
