Wait for a configuration revision that an agent asks for

Cause: during each configuration change, agents that have the new revision refuse the dispatches of entries that do not, and repeating such a dispatch at once spends the retry budget for nothing. Retries that wait for the few targets left to them also held up the requests behind them. Change: the entry waits up to 1.5 s for the wanted revision before the next attempt; waiting retries that no free target suits are passed over; the availability zone is compared by hash in routing.

--- a/crates/core/src/limits/queue.rs
+++ b/crates/core/src/limits/queue.rs
@@ -172,11 +172,18 @@
     }
 
     /// Returns the next request of a service: that of the team with the fewest requests in flight
-    /// at all entries, and among equal teams the most urgent and oldest.
-    pub fn peek(&self, service: &ServiceName, ledger: &TeamLedger) -> Option<TicketKey> {
+    /// at all entries, and among equal teams the most urgent and oldest. Requests in `passed` are
+    /// passed over.
+    pub fn peek(
+        &self,
+        service: &ServiceName,
+        ledger: &TeamLedger,
+        passed: &[TicketKey],
+    ) -> Option<TicketKey> {
         let queue = self.services.get(service)?;
         let heads = queue.teams.iter().filter_map(|(team, waiting)| {
-            let (order, ticket) = waiting.first_key_value()?;
+            let mut waiting = waiting.iter();
+            let (order, ticket) = waiting.find(|(_, ticket)| !passed.contains(ticket))?;
             Some((ledger.fleet_in_flight(team), *order, *ticket))
         });
         heads.min().map(|(_, _, ticket)| ticket)
--- a/crates/core/src/membership/target.rs
+++ b/crates/core/src/membership/target.rs
@@ -116,6 +116,8 @@
     pub zone_cost: CachedSetting,
     /// Hash of the name, for rendezvous hashing.
     pub name_hash: u64,
+    /// Hash of the availability zone, which is cheaper to compare than the name.
+    pub zone_hash: u64,
     connected: bool,
     own_in_flight: u32,
     sent_since_report: u32,
@@ -127,10 +129,16 @@
     xxh3_64(kind.as_str().as_bytes())
 }
 
+/// Returns the hash of an availability zone.
+pub fn zone_hash(zone: &ZoneName) -> u64 {
+    xxh3_64(zone.as_str().as_bytes())
+}
+
 impl Target {
     /// Creates a target whose link is not open yet.
     pub fn new(listing: TargetListing, view: &ConfigurationView) -> Self {
         let name_hash = xxh3_64(listing.name.as_str().as_bytes());
+        let zone_hash = zone_hash(&listing.availability_zone);
         let (limit, zone_cost) = resolve_settings(&listing, view);
         Self {
             listing,
@@ -139,6 +147,7 @@
             limit,
             zone_cost,
             name_hash,
+            zone_hash,
             connected: false,
             own_in_flight: 0,
             sent_since_report: 0,
--- a/crates/core/src/routing/candidate.rs
+++ b/crates/core/src/routing/candidate.rs
@@ -74,7 +74,7 @@
     ) -> Self {
         let limit = effective_limit(target, policy);
         let in_flight = target.in_flight();
-        let own_zone = target.listing.availability_zone == policy.own_zone;
+        let own_zone = target.zone_hash == policy.own_zone;
         let added = kind.map_or(1.0, |kind| target.kind_cost(kind));
         let load = (f64::from(in_flight) + f64::from(added)) / f64::from(limit);
         let zone_cost = target.zone_cost.or_team(policy.team_zone_cost.as_ref());
--- a/crates/core/src/routing/policy.rs
+++ b/crates/core/src/routing/policy.rs
@@ -6,14 +6,14 @@
         SettingTarget,
     },
     ids::{ServiceName, TeamName, ZoneName},
-    membership::CachedSetting,
+    membership::{CachedSetting, target::zone_hash},
 };
 
 /// Settings of one request; those of the targets are kept with the targets.
 #[derive(Clone, Debug)]
 pub struct RoutePolicy {
-    /// Availability zone of the entry.
-    pub own_zone: ZoneName,
+    /// Hash of the availability zone of the entry.
+    pub own_zone: u64,
     /// Whether prefix affinity applies.
     pub affinity: ResolvedSetting,
     /// Load up to which affinity holds, in percent of the mean.
@@ -43,7 +43,7 @@
             ..SettingTarget::default()
         };
         Self {
-            own_zone: own_zone.clone(),
+            own_zone: zone_hash(own_zone),
             affinity: view.resolve(SettingKey::Affinity, &context),
             load_bound: view.resolve(SettingKey::LoadBound, &context),
             team_limit: team_exception(view, SettingKey::TargetConcurrency, &team_only),
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -133,7 +133,7 @@
 
     /// Takes a request and counts it as in flight for its team.
     fn pop(&mut self) -> Option<String> {
-        let ticket = self.queue.peek(&service(), &self.ledger)?;
+        let ticket = self.queue.peek(&service(), &self.ledger, &[])?;
         self.queue.remove(ticket);
         let name = self.names[&ticket].clone();
         let owner = team(name.split('-').next().unwrap());
@@ -175,6 +175,22 @@
     assert_eq!(waiters.pop().as_deref(), Some("b-3-1"));
 }
 
+#[test]
+fn request_that_no_free_target_suits_does_not_block_the_others() {
+    let mut waiters = Waiters::new();
+    waiters.push("a-1-1").unwrap();
+    waiters.push("a-3-2").unwrap();
+    let first = waiters
+        .queue
+        .peek(&service(), &waiters.ledger, &[])
+        .unwrap();
+    let second = waiters
+        .queue
+        .peek(&service(), &waiters.ledger, &[first])
+        .unwrap();
+    assert_eq!(waiters.names[&second], "a-3-2");
+}
+
 #[test]
 fn large_team_gives_way_when_the_queue_is_full() {
     let mut waiters = Waiters::new();
--- a/crates/daemon/src/entry/callers/answer.rs
+++ b/crates/daemon/src/entry/callers/answer.rs
@@ -240,7 +240,7 @@
             request_id = request_id,
             status = self.status.as_u16(),
             reason = self.reason,
-            message = self.message,
+            detail = self.message,
         );
     }
 
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -215,17 +215,22 @@
 
     /// Gives free targets of a service to the requests that wait for it.
     pub fn wake(self: &Arc<Self>, service: &ServiceName) {
-        let mut grants = Vec::new();
+        let (mut grants, mut passed) = (Vec::new(), Vec::new());
         let mut state = self.state();
-        while let Some(ticket) = state.queue.peek(service, &state.ledger) {
+        while let Some(ticket) = state.queue.peek(service, &state.ledger, &passed) {
             let Some(waiter) = state.waiters.remove(&ticket) else {
                 state.queue.remove(ticket);
                 continue;
             };
             match AttemptHandle::reserve(self, &mut state, &waiter.query) {
                 Err(RouteError::Full) => {
+                    // The targets that are left for a retry may be full while others are not.
+                    let is_retry = !waiter.query.tried.is_empty();
                     state.waiters.insert(ticket, waiter);
-                    break;
+                    if !is_retry {
+                        break;
+                    }
+                    passed.push(ticket);
                 }
                 granted => {
                     state.queue.remove(ticket);
--- a/crates/daemon/src/entry/dispatcher.rs
+++ b/crates/daemon/src/entry/dispatcher.rs
@@ -24,18 +24,25 @@
     },
     http::StatusCode,
     sassafrasslip_core::{
-        configuration::{ConfigurationView, SettingTarget},
+        configuration::{ConfigurationView, Revision, SettingTarget},
         events::LogEvent::{CallerGone, TeamLimited},
         ids::TeamName,
         limits::{TeamLimits, TeamRefusal},
         log_event,
         retry::{AttemptContext, Verdict, judge},
     },
-    std::sync::Arc,
-    tokio::{sync::oneshot, time::Instant},
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::oneshot,
+        time::{Instant, timeout_at},
+    },
     tokio_util::sync::CancellationToken,
 };
 
+/// Time for which a request waits for a configuration revision that an agent asks for: one renewal
+/// interval and an answer of the table.
+const REVISION_WAIT: Duration = Duration::from_millis(1500);
+
 /// Serves a request and responds; `gone` cancels it.
 pub async fn run(
     context: Arc<EntryContext>,
@@ -88,12 +95,23 @@
         let idempotent = handle.idempotent;
         run.end_attempt(&handle, &failure);
         drop(handle);
+        if let Some(revision) = failure.wanted_revision {
+            await_revision(&run.context, revision, run.deadline).await;
+        }
         if let Some(end) = settle(run, &failure, idempotent).await {
             return end;
         }
     }
 }
 
+/// Waits until the entry has a revision that an agent has already seen. Peers send it within
+/// milliseconds, and without them the entry reads it with its next lease renewal.
+async fn await_revision(context: &EntryContext, revision: Revision, deadline: Instant) {
+    let mut view = context.view.clone();
+    let latest = deadline.min(Instant::now() + REVISION_WAIT);
+    let _ = timeout_at(latest, view.wait_for(|view| view.revision() >= revision)).await;
+}
+
 fn admit(run: &RequestRun) -> Result<TeamSlot, Refusal> {
     let (context, head) = (&run.context, &run.request.head);
     let view = context.current_view();
--- a/crates/daemon/src/entry/dispatcher/attempt.rs
+++ b/crates/daemon/src/entry/dispatcher/attempt.rs
@@ -11,12 +11,13 @@
     bytes::BytesMut,
     rand::random,
     sassafrasslip_core::{
+        configuration::Revision,
         membership::{ServiceKind, TargetLoad},
         retry::{AttemptEvent, DispatchRefusal},
     },
     sassafrasslip_proto::link::{
-        self, AnswerEnd, AnswerHead, Dispatch, FailureOutcome, IdempotencyScope, RefusalReason,
-        link_frame::Message,
+        self, AnswerEnd, AnswerHead, Dispatch, DispatchRefused, FailureOutcome, IdempotencyScope,
+        RefusalReason, link_frame::Message,
     },
     std::{borrow::Cow, result, time::Duration},
     tokio::time::{Instant, timeout_at},
@@ -34,6 +35,8 @@
     pub reason: Cow<'static, str>,
     /// Time after which the agent wants the caller to come back.
     pub retry_after: Option<Duration>,
+    /// Configuration revision that the agent asks for, if that of the dispatch was too old.
+    pub wanted_revision: Option<Revision>,
 }
 
 impl AttemptFailure {
@@ -42,6 +45,7 @@
             event,
             reason: reason.into(),
             retry_after: None,
+            wanted_revision: None,
         }
     }
 }
@@ -143,18 +147,23 @@
         }
         AnswerFrame::Refused(refused) => {
             end(handle, refused.load);
-            let refusal = refusal(refused.reason());
-            let after = Duration::from_millis(refused.retry_after_ms);
-            Err(AttemptFailure {
-                event: AttemptEvent::Refused(refusal),
-                reason: Cow::Borrowed(refusal.as_str()),
-                retry_after: (!after.is_zero()).then_some(after),
-            })
+            Err(refusal_failure(&refused))
         }
         frame => Ok(frame),
     }
 }
 
+fn refusal_failure(refused: &DispatchRefused) -> AttemptFailure {
+    let refusal = refusal(refused.reason());
+    let after = Duration::from_millis(refused.retry_after_ms);
+    let is_stale = refusal == DispatchRefusal::StaleRevision;
+    AttemptFailure {
+        retry_after: (!after.is_zero()).then_some(after),
+        wanted_revision: is_stale.then_some(refused.configuration_revision),
+        ..AttemptFailure::new(AttemptEvent::Refused(refusal), refusal.as_str())
+    }
+}
+
 fn end(handle: &mut AttemptHandle, load: Option<link::TargetLoad>) {
     handle.is_running = false;
     handle.load = load.map(|load| TargetLoad {
--- a/crates/daemon/src/entry/dispatcher/run.rs
+++ b/crates/daemon/src/entry/dispatcher/run.rs
@@ -173,10 +173,13 @@
 
     /// Remembers how an attempt failed.
     pub fn end_attempt(&mut self, handle: &AttemptHandle, failure: &AttemptFailure) {
-        // A full or draining target is left out by its own figures and may be free again later.
+        // A full or draining target is left out by its own figures and may be free again later,
+        // and a target that wants a newer revision takes the request once the entry has it.
         let is_temporary = matches!(
             failure.event,
-            AttemptEvent::Refused(DispatchRefusal::Draining | DispatchRefusal::Full)
+            AttemptEvent::Refused(
+                DispatchRefusal::Draining | DispatchRefusal::Full | DispatchRefusal::StaleRevision
+            )
         );
         if !is_temporary {
             self.tried.push(handle.decision.key);
@@ -223,6 +226,8 @@
         let mut response = Response::new(AnswerBody::whole(body));
         let status = u16::try_from(head.status).ok();
         let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+        // An informational status cannot end an answer.
+        let status = status.filter(|status| !status.is_informational());
         *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
         copy_headers(head, &mut response);
         if is_token_answer {
@@ -259,6 +264,7 @@
             event: AttemptEvent::DeadlinePassed,
             reason: Cow::Borrowed(reason),
             retry_after: None,
+            wanted_revision: None,
         };
         let sent = timeout_at(self.deadline, sender.send(part)).await;
         sent.map_err(|_| failure("caller_slow"))?
--- a/crates/daemon/tests/entry_fleet.rs
+++ b/crates/daemon/tests/entry_fleet.rs
@@ -3,7 +3,9 @@
 mod entry_support;
 
 use {
-    entry_support::{FakeAgent, TEAM, TestEntry, generate, run, three_tokens, until},
+    entry_support::{
+        FakeAgent, Script, TEAM, TestEntry, generate, read_reply, run, three_tokens, until,
+    },
     sassafrasslip_core::{
         configuration::{ConfigurationItem, ConfigurationView, SettingKey},
         ids::TeamName,
@@ -12,7 +14,7 @@
         entry::fleet::{EntryFleet, FleetView},
         platform::{ListedInstance, ListedRole, ListedState},
     },
-    sassafrasslip_proto::link::link_frame::Message,
+    sassafrasslip_proto::link::{DispatchRefused, RefusalReason, link_frame::Message},
     std::{sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -202,3 +204,32 @@
         assert_eq!(first.context.current_view().revision(), 4);
     });
 }
+
+#[test]
+fn dispatch_with_an_old_revision_is_repeated_with_the_new_one() {
+    run(async {
+        let script: Script = Arc::new(|dispatch, sender| {
+            if dispatch.configuration_revision >= 6 {
+                return three_tokens()(dispatch, sender);
+            }
+            let refused = DispatchRefused {
+                request_id: dispatch.request_id,
+                reason: RefusalReason::StaleRevision.into(),
+                configuration_revision: 6,
+                attempt: dispatch.attempt,
+                ..DispatchRefused::default()
+            };
+            sender.try_send(Message::DispatchRefused(refused)).unwrap();
+        });
+        let agent = FakeAgent::model("t1", script).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        let stream = entry.send(&generate(&[TEAM])).await;
+        until("first dispatch is refused", || {
+            agent.dispatches().len() == 1
+        })
+        .await;
+        entry.view.send_replace(newer_view(6));
+        assert_eq!(read_reply(stream).await.status, 200);
+        assert_eq!(agent.dispatches().len(), 2);
+    });
+}
