Add the configuration actor and the operator API of entries

Entries had the catalogue of defaults and the view, but nothing that read them from the table, held a lease or executed an operator's change.

The daemon gets the actor around them and the HTTP server of the operator API. A lease that is not held is taken by a transaction conditional on the head, so no entry becomes live behind an accepted change. A lease counts from before the head was read, because its end in the table is computed from the time in that answer. A change without an expected revision is conditional on the item as the entry had it when the request arrived, so that a race has one winner whatever its timing.

--- a/crates/core/src/configuration.rs
+++ b/crates/core/src/configuration.rs
@@ -1,16 +1,29 @@
 //! Fleet-wide defaults, exceptions with reasons, and their resolution.
 
+pub mod acceptance;
 pub mod catalogue;
+pub mod change;
 pub mod exception;
+pub mod keys;
+pub mod lease;
+pub mod report;
 pub mod snapshot;
+pub mod state;
 pub mod view;
 
 pub use {
+    acceptance::{AcceptanceReport, LeaseObservation, LeaseRecord, judge_acceptance},
     catalogue::{SettingKey, SettingValue, ValueError},
+    change::{
+        ChangeAction, ChangeCondition, ChangeFault, ChangePlan, ChangeRefusal, ChangeRequest,
+        ChangeWrite, HistoryRecord,
+    },
     exception::{ExceptionScope, PolicyException},
+    lease::{HolderEffect, LeaseGrant, LeaseHolder, RenewalKind},
     snapshot::{
         ConfigurationItem, ConfigurationSnapshot, ResolvedSetting, SettingSource, SettingTarget,
     },
+    state::{ConfigurationState, StateError, StoredItem},
     view::ConfigurationView,
 };
 
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -68,6 +68,7 @@
     4005 LeaseLapsed Warn "configuration lease lapsed; the cut-off defaults apply";
     4006 LeaseRenewed Info "configuration lease is held again";
     4007 ChangeRefused Warn "configuration change refused";
+    4008 DrainOrdered Info "operator ordered a drain or its end";
     5001 PlacementDecided Info "placement decision";
     5002 MapChangeStarted Info "expert map change started";
     5003 MapChangeCommitted Info "expert map change committed";
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -1,6 +1,8 @@
 //! Entry: accepts callers, admits and routes their requests.
 
+pub mod configuration;
 pub mod fleet;
+pub mod operators;
 
 use crate::{Result, options::DaemonOptions};
 
--- /dev/null
+++ b/crates/daemon/src/entry/configuration/messages.rs
@@ -0,0 +1,170 @@
+//! Messages of the configuration actor.
+
+use {
+    super::{ConfigurationActor, executor::ChangeExecutor, renewal::RenewalEnd, store::StoreError},
+    crate::describe,
+    error_stack::Report,
+    kameo::{
+        message::{Context, Message},
+        reply::DelegatedReply,
+    },
+    sassafrasslip_core::{
+        configuration::{
+            ChangeRequest, ConfigurationSnapshot, ConfigurationView, HistoryRecord, Revision,
+            report::ChangeReport,
+        },
+        events::LogEvent::PlatformUnavailable,
+        log_event,
+    },
+    std::{convert::Infallible, result, sync::Arc},
+    tokio::time::Instant,
+};
+
+/// Asks for the view in force.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadView;
+
+/// Asks for the newest changes.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadHistory {
+    /// Most changes that are returned.
+    pub limit: u64,
+}
+
+/// Renews the lease now and reads the head; sent by the actor's timer each second.
+#[derive(Clone, Copy, Debug)]
+pub struct RenewLease;
+
+pub(super) struct ExpireLease;
+pub(super) struct LoadEnded(pub(super) result::Result<Arc<ConfigurationSnapshot>, String>);
+pub(super) struct PeerSnapshot(pub(super) ConfigurationSnapshot);
+pub(super) struct PublishEnded(pub(super) Option<Revision>);
+pub(super) struct RenewalEnded(pub(super) RenewalEnd);
+
+impl Message<ChangeRequest> for ConfigurationActor {
+    type Reply = DelegatedReply<super::executor::Result<ChangeReport>>;
+
+    async fn handle(
+        &mut self,
+        mut request: ChangeRequest,
+        context: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        if self.holder.applied().is_some() {
+            request.pin_revision(&self.holder.view().snapshot);
+        }
+        let executor = ChangeExecutor::new(self.store.clone());
+        let actor = context.actor_ref().clone();
+        context.spawn(async move {
+            let change = executor.commit(request).await?;
+            // This entry need not wait for its timer to apply the change. If the actor has
+            // stopped, it holds no lease that the acceptance would wait for.
+            let _ = actor.tell(RenewLease).await;
+            executor.confirm(change).await
+        })
+    }
+}
+
+impl Message<ReadHistory> for ConfigurationActor {
+    type Reply = DelegatedReply<result::Result<Vec<HistoryRecord>, Report<StoreError>>>;
+
+    async fn handle(
+        &mut self,
+        ReadHistory { limit }: ReadHistory,
+        context: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let store = self.store.clone();
+        context.spawn(async move { store.read_history(limit).await })
+    }
+}
+
+impl Message<ReadView> for ConfigurationActor {
+    type Reply = result::Result<ConfigurationView, Infallible>;
+
+    async fn handle(&mut self, _: ReadView, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        Ok(self.holder.view())
+    }
+}
+
+impl Message<RenewLease> for ConfigurationActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: RenewLease, _: &mut Context<Self, ()>) {
+        while self.tasks.try_join_next().is_some() {}
+        self.start_publish();
+        self.start_renewal();
+    }
+}
+
+impl Message<ExpireLease> for ConfigurationActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ExpireLease, _: &mut Context<Self, ()>) {
+        let effect = self.holder.expire(Instant::now());
+        self.carry_out(effect);
+    }
+}
+
+impl Message<RenewalEnded> for ConfigurationActor {
+    type Reply = ();
+
+    async fn handle(&mut self, RenewalEnded(end): RenewalEnded, _: &mut Context<Self, ()>) {
+        self.renewal_running = false;
+        let now = Instant::now();
+        let effect = match end.outcome {
+            Ok(outcome) => {
+                self.note_platform(None);
+                self.end_renewal(outcome, now)
+            }
+            Err(report) => {
+                self.note_platform(Some(&describe(&report)));
+                // The write may have taken effect, so the version has to be read again.
+                self.lease_version = None;
+                self.holder.on_renewal_failed(now)
+            }
+        };
+        self.carry_out(effect);
+        if let Some(head) = end.head {
+            self.compare_head(&head);
+        }
+        if self.renewal_wanted {
+            self.start_renewal();
+        }
+    }
+}
+
+impl Message<LoadEnded> for ConfigurationActor {
+    type Reply = ();
+
+    async fn handle(&mut self, LoadEnded(loaded): LoadEnded, _: &mut Context<Self, ()>) {
+        self.load_running = false;
+        match loaded {
+            Ok(snapshot) => {
+                let effect = self.holder.on_revision_read(snapshot);
+                self.carry_out(effect);
+            }
+            Err(fault) => log_event!(PlatformUnavailable, service = "table", fault = fault),
+        }
+    }
+}
+
+impl Message<PeerSnapshot> for ConfigurationActor {
+    type Reply = ();
+
+    async fn handle(&mut self, PeerSnapshot(snapshot): PeerSnapshot, _: &mut Context<Self, ()>) {
+        let effect = self.holder.on_snapshot_received(Arc::new(snapshot));
+        self.carry_out(effect);
+    }
+}
+
+impl Message<PublishEnded> for ConfigurationActor {
+    type Reply = ();
+
+    async fn handle(&mut self, PublishEnded(revision): PublishEnded, _: &mut Context<Self, ()>) {
+        self.publish_running = false;
+        if let Some(revision) = revision {
+            self.holder.on_published(revision);
+            self.start_renewal();
+        }
+        self.start_publish();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/configuration/store.rs
@@ -0,0 +1,361 @@
+//! Configuration in the platform's table.
+
+use {
+    crate::{
+        constants::TABLE_PAGE_ITEMS,
+        platform::{
+            PlatformError, TableCondition, TableItem, TableOutcome, TableService, TableTransaction,
+            TableWrite,
+        },
+    },
+    error_stack::{Report, ResultExt},
+    sassafrasslip_core::{
+        configuration::{
+            ChangePlan, ConfigurationState, HistoryRecord, LeaseObservation, LeaseRecord, Revision,
+            StoredItem,
+            keys::{
+                CHANGE_PREFIX, HEAD_KEY, ITEM_PREFIX, LEASE_PREFIX, change_id_key, change_key,
+                lease_key,
+            },
+        },
+        ids::{ChangeName, InstanceName},
+    },
+    serde::de::DeserializeOwned,
+    std::{error::Error, fmt, result, sync::Arc},
+};
+
+/// Result of a step on the table.
+pub type Result<T> = result::Result<T, Report<StoreError>>;
+
+/// Reads of the head around a scan before the scan is given up.
+const SCAN_ATTEMPTS: usize = 5;
+
+/// Step on the table that failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreError {
+    /// Reading the head revision.
+    ReadHead,
+    /// Reading the items.
+    ReadItems,
+    /// Reading a change.
+    ReadChange,
+    /// Reading the lease records.
+    ReadLeases,
+    /// Writing a lease record.
+    WriteLease,
+    /// Committing a change.
+    Commit,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Commit => "cannot commit the change",
+            Self::ReadChange => "cannot read the change",
+            Self::ReadHead => "cannot read the head revision",
+            Self::ReadItems => "cannot read the configuration items",
+            Self::ReadLeases => "cannot read the lease records",
+            Self::WriteLease => "cannot write the lease record",
+        })
+    }
+}
+
+impl Error for StoreError {}
+
+/// Content of a table item that cannot be decoded.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct MalformedItem {
+    key: String,
+    fault: String,
+}
+
+impl fmt::Display for MalformedItem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "table item `{}`: {}", self.key, self.fault)
+    }
+}
+
+impl Error for MalformedItem {}
+
+/// The head moved during every attempt to read the items.
+#[derive(Clone, Copy, Debug)]
+struct HeadMoving;
+
+impl fmt::Display for HeadMoving {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the head revision moved during each scan")
+    }
+}
+
+impl Error for HeadMoving {}
+
+/// Head of the configuration as it was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeadRead {
+    /// Version of the head item; 0 if no change was ever made.
+    pub version: u64,
+    /// Revision; 0 if no change was ever made.
+    pub revision: Revision,
+    /// Time of the table's clock, in milliseconds.
+    pub time_ms: u64,
+}
+
+/// Lease record with the version of its item.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StoredLease {
+    /// Version; 0 if there is no record.
+    pub version: u64,
+    /// Record.
+    pub record: Option<LeaseRecord>,
+}
+
+/// Access to the configuration in the table. Clones share the connection.
+#[derive(Clone)]
+pub struct ConfigurationStore {
+    table: Arc<dyn TableService>,
+}
+
+impl fmt::Debug for ConfigurationStore {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ConfigurationStore")
+    }
+}
+
+impl ConfigurationStore {
+    /// Creates the access to a table.
+    pub fn new(table: Arc<dyn TableService>) -> Self {
+        Self { table }
+    }
+
+    /// Reads the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer or the head is malformed.
+    pub async fn read_head(&self) -> Result<HeadRead> {
+        let read = self.table.read(HEAD_KEY).await;
+        let read = read.change_context(StoreError::ReadHead)?;
+        let revision = decode_optional(&read.item).change_context(StoreError::ReadHead)?;
+        Ok(HeadRead {
+            version: read.item.version,
+            revision: revision.unwrap_or_default(),
+            time_ms: read.time_ms,
+        })
+    }
+
+    /// Reads all items at one revision of the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer, an item is malformed, or the head moves too often.
+    pub async fn read_state(&self) -> Result<ConfigurationState> {
+        let mut before = self.read_head().await?;
+        for _ in 0..SCAN_ATTEMPTS {
+            let mut state = self.scan_items().await?;
+            // Pages come from different points in time, but every change moves the head.
+            let after = self.read_head().await?;
+            if before.version == after.version {
+                state.head_version = after.version;
+                state.snapshot.revision = after.revision;
+                state.time_ms = after.time_ms;
+                return Ok(state);
+            }
+            before = after;
+        }
+        Err(Report::new(HeadMoving).change_context(StoreError::ReadItems))
+    }
+
+    async fn scan_items(&self) -> Result<ConfigurationState> {
+        let mut state = ConfigurationState::default();
+        let items = self.scan_all(ITEM_PREFIX).await;
+        for (item, _) in items.change_context(StoreError::ReadItems)? {
+            let TableItem {
+                key,
+                version,
+                value: Some(value),
+            } = item
+            else {
+                continue;
+            };
+            let added = state.add(StoredItem {
+                key: &key,
+                version,
+                value: &value,
+            });
+            added.change_context(StoreError::ReadItems)?;
+        }
+        Ok(state)
+    }
+
+    async fn scan_all(
+        &self,
+        prefix: &str,
+    ) -> result::Result<Vec<(TableItem, u64)>, Report<PlatformError>> {
+        let mut items = Vec::new();
+        let mut after = String::new();
+        loop {
+            let scan = self.table.scan(prefix, &after, TABLE_PAGE_ITEMS).await?;
+            let time_ms = scan.time_ms;
+            items.extend(scan.items.into_iter().map(|item| (item, time_ms)));
+            match items.last() {
+                Some((last, _)) if scan.more => last.key.clone_into(&mut after),
+                _ => return Ok(items),
+            }
+        }
+    }
+
+    /// Reads the history record of a change by its identifier.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer or a record is malformed.
+    pub async fn read_change(&self, change_id: &ChangeName) -> Result<Option<HistoryRecord>> {
+        let index = self.table.read(&change_id_key(change_id)).await;
+        let index = index.change_context(StoreError::ReadChange)?;
+        let revision = decode_optional::<Revision>(&index.item);
+        let Some(revision) = revision.change_context(StoreError::ReadChange)? else {
+            return Ok(None);
+        };
+        let read = self.table.read(&change_key(revision)).await;
+        let read = read.change_context(StoreError::ReadChange)?;
+        decode_optional(&read.item).change_context(StoreError::ReadChange)
+    }
+
+    /// Reads the newest changes, newest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer or a record is malformed.
+    pub async fn read_history(&self, limit: u64) -> Result<Vec<HistoryRecord>> {
+        let head = self.read_head().await?;
+        // Revisions have no gaps, so the key before the first wanted record is known.
+        let after = change_key(head.revision.saturating_sub(limit));
+        let page = usize::try_from(limit).unwrap_or(TABLE_PAGE_ITEMS);
+        let scan = self.table.scan(CHANGE_PREFIX, &after, page).await;
+        let scan = scan.change_context(StoreError::ReadChange)?;
+        let records = scan.items.iter().rev().map(decode);
+        records
+            .collect::<result::Result<_, _>>()
+            .change_context(StoreError::ReadChange)
+    }
+
+    /// Runs the transaction of a change; returns whether it was committed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer; the change may have taken effect all the same.
+    pub async fn commit(&self, plan: &ChangePlan) -> Result<bool> {
+        let conditions = plan.conditions.iter().map(|condition| TableCondition {
+            key: condition.key.clone(),
+            version: condition.version,
+        });
+        let writes = plan.writes.iter().map(|write| TableWrite {
+            key: write.key.clone(),
+            value: write.value.clone(),
+        });
+        let transaction = TableTransaction {
+            conditions: conditions.collect(),
+            writes: writes.collect(),
+        };
+        let outcome = self.table.transact(transaction).await;
+        let outcome = outcome.change_context(StoreError::Commit)?;
+        Ok(matches!(outcome, TableOutcome::Committed { .. }))
+    }
+
+    /// Reads the lease records of all entries, with the versions of their items.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer or a record is malformed.
+    pub async fn read_leases(&self) -> Result<Vec<(LeaseObservation, u64)>> {
+        let items = self.scan_all(LEASE_PREFIX).await;
+        let items = items.change_context(StoreError::ReadLeases)?;
+        let leases = items.iter().map(|(item, time_ms)| {
+            let instance = item.key.trim_start_matches(LEASE_PREFIX).parse();
+            let instance = instance.map_err(|error| malformed(&item.key, error))?;
+            let observation = LeaseObservation {
+                instance,
+                record: decode(item)?,
+                time_ms: *time_ms,
+            };
+            Ok((observation, item.version))
+        });
+        leases
+            .collect::<result::Result<_, Report<MalformedItem>>>()
+            .change_context(StoreError::ReadLeases)
+    }
+
+    /// Reads the lease record of an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer or the record is malformed.
+    pub async fn read_lease(&self, instance: &InstanceName) -> Result<StoredLease> {
+        let read = self.table.read(&lease_key(instance)).await;
+        let read = read.change_context(StoreError::ReadLeases)?;
+        let record = decode_optional(&read.item).change_context(StoreError::ReadLeases)?;
+        Ok(StoredLease {
+            version: read.item.version,
+            record,
+        })
+    }
+
+    /// Writes a lease record, or deletes it if there is none, on the condition that it has
+    /// `version` and, if given, that the head has `head_version`. Returns the new version, or
+    /// `None` if a condition did not hold.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not answer; the write may have taken effect all the same.
+    pub async fn write_lease(
+        &self,
+        instance: &InstanceName,
+        lease: &StoredLease,
+        head_version: Option<u64>,
+    ) -> Result<Option<u64>> {
+        let key = lease_key(instance);
+        let head = head_version.map(|version| TableCondition {
+            key: HEAD_KEY.to_owned(),
+            version,
+        });
+        let version = lease.version;
+        let own = TableCondition {
+            key: key.clone(),
+            version,
+        };
+        let value = lease.record.as_ref().map(encode_lease);
+        let transaction = TableTransaction {
+            conditions: head.into_iter().chain([own]).collect(),
+            writes: vec![TableWrite { key, value }],
+        };
+        let outcome = self.table.transact(transaction).await;
+        match outcome.change_context(StoreError::WriteLease)? {
+            TableOutcome::Committed { version, .. } => Ok(Some(version)),
+            TableOutcome::Conflict { .. } => Ok(None),
+        }
+    }
+}
+
+fn encode_lease(record: &LeaseRecord) -> String {
+    serde_json::to_string(record).unwrap_or_default()
+}
+
+fn malformed(key: &str, fault: impl ToString) -> Report<MalformedItem> {
+    Report::new(MalformedItem {
+        key: key.to_owned(),
+        fault: fault.to_string(),
+    })
+}
+
+fn decode<T: DeserializeOwned>(item: &TableItem) -> result::Result<T, Report<MalformedItem>> {
+    decode_optional(item)?.ok_or_else(|| malformed(&item.key, "the item is absent"))
+}
+
+fn decode_optional<T: DeserializeOwned>(
+    item: &TableItem,
+) -> result::Result<Option<T>, Report<MalformedItem>> {
+    let value = item.value.as_deref().map(serde_json::from_str);
+    value
+        .transpose()
+        .map_err(|error| malformed(&item.key, error))
+}
--- /dev/null
+++ b/crates/daemon/src/entry/operators.rs
@@ -0,0 +1,92 @@
+//! Server of the operator API.
+
+pub mod answers;
+mod changes;
+pub mod fields;
+mod fleet;
+mod reports;
+mod routes;
+
+use {
+    super::{configuration::ConfigurationActor, fleet::FleetView},
+    crate::constants::OPERATOR_READ_TIMEOUT,
+    hyper::{server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    kameo::actor::ActorRef,
+    sassafrasslip_core::{events::LogEvent::ListenerFailed, log_event},
+    std::{convert::Infallible, fmt, pin::pin, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::sleep,
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Pause after a failed accept, for example while the process has no free file descriptor.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the handlers of the operator API use.
+#[derive(Clone)]
+pub(crate) struct OperatorContext {
+    pub(crate) actor: ActorRef<ConfigurationActor>,
+    pub(crate) fleet: Arc<dyn FleetView>,
+}
+
+impl fmt::Debug for OperatorContext {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("OperatorContext")
+    }
+}
+
+/// Serves operators until `draining` is cancelled, then finishes the open requests.
+pub async fn serve(
+    listener: TcpListener,
+    actor: ActorRef<ConfigurationActor>,
+    fleet: Arc<dyn FleetView>,
+    draining: CancellationToken,
+) {
+    let context = OperatorContext { actor, fleet };
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = draining.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                connections.spawn(serve_connection(stream, context.clone(), draining.clone()));
+            }
+            Err(error) => {
+                log_event!(ListenerFailed, listener = "operator", fault = error);
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    context: OperatorContext,
+    draining: CancellationToken,
+) {
+    let service = service_fn(move |request| {
+        let context = context.clone();
+        async move { Ok::<_, Infallible>(routes::answer(request, &context).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(OPERATOR_READ_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    // A connection that an operator's client breaks concerns nobody else.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = draining.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
