--- /dev/null
+++ b/crates/client/src/arguments.rs
@@ -0,0 +1,252 @@
+//! Command-line arguments of the client.
+
+use {
+    clap::{
+        Args, Parser, Subcommand, ValueEnum,
+        builder::{PossibleValuesParser, TypedValueParser},
+    },
+    clap_complete::Shell,
+    sassafrasslip_core::{
+        configuration::{ExceptionScope, SettingKey},
+        ids::{ChangeName, ExceptionName, InstanceName, OperatorName, RequestId},
+    },
+    std::net::SocketAddr,
+};
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  refused or invalid
+  2  usage
+  3  conflict with another operator's change
+  4  entry or table unreachable
+  5  committed but not yet confirmed everywhere";
+
+/// Operator client of sassafrasslip.
+#[derive(Debug, Parser)]
+#[command(name = "sassafrasslip", version, about, after_help = EXIT_CODES)]
+pub struct ClientArguments {
+    /// Where to send requests, and how to show answers.
+    #[command(flatten)]
+    pub connection: ConnectionArguments,
+    /// What to do.
+    #[command(subcommand)]
+    pub verb: ClientVerb,
+}
+
+/// Arguments of all verbs.
+#[derive(Args, Clone, Debug)]
+pub struct ConnectionArguments {
+    /// Operator address of an entry.
+    #[arg(
+        long,
+        env = "SASSAFRASSLIP_ENTRY",
+        value_name = "IP:PORT",
+        global = true,
+        help_heading = "Connection"
+    )]
+    pub entry: Option<SocketAddr>,
+    /// Form of the answer.
+    #[arg(
+        long,
+        value_name = "FORM",
+        default_value = "table",
+        global = true,
+        help_heading = "Output"
+    )]
+    pub output: OutputFormat,
+}
+
+/// Form of the answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum OutputFormat {
+    /// JSON of the operator API.
+    Json,
+    /// Tables for people.
+    Table,
+}
+
+/// Verbs of the client.
+#[derive(Debug, Subcommand)]
+pub enum ClientVerb {
+    /// Fleet-wide defaults.
+    #[command(subcommand)]
+    Defaults(DefaultsVerb),
+    /// Exceptions to the defaults, each with a written reason.
+    #[command(subcommand)]
+    Exceptions(ExceptionsVerb),
+    /// Show the newest changes: who, what, when and why.
+    History(HistoryArguments),
+    /// Show targets and peers as the entry sees them.
+    Status,
+    /// Show why a request went where it went.
+    Explain(ExplainArguments),
+    /// Let a target finish its work and take no more.
+    Drain(DrainArguments),
+    /// Write a completion script for a shell.
+    Completions(CompletionsArguments),
+}
+
+/// Verbs for defaults.
+#[derive(Debug, Subcommand)]
+pub enum DefaultsVerb {
+    /// List all defaults.
+    List,
+    /// Show one default with its range.
+    Show(DefaultArguments),
+    /// Set a default.
+    Set(SetDefaultArguments),
+}
+
+/// Arguments of `defaults show`.
+#[derive(Args, Debug)]
+pub struct DefaultArguments {
+    /// Key of the default.
+    #[arg(value_parser = setting_key_parser())]
+    pub key: SettingKey,
+}
+
+/// Arguments of `defaults set`.
+#[derive(Args, Debug)]
+pub struct SetDefaultArguments {
+    /// Key of the default.
+    #[arg(value_parser = setting_key_parser())]
+    pub key: SettingKey,
+    /// New value, in the unit of the key.
+    pub value: String,
+    /// Why the default is changed.
+    #[arg(long, value_name = "TEXT", help_heading = "Change")]
+    pub reason: Option<String>,
+    /// Who changes what, and on which condition.
+    #[command(flatten)]
+    pub change: ChangeArguments,
+}
+
+/// Verbs for exceptions.
+#[derive(Debug, Subcommand)]
+pub enum ExceptionsVerb {
+    /// List all exceptions.
+    List,
+    /// Add an exception.
+    Add(AddExceptionArguments),
+    /// Remove an exception.
+    Remove(RemoveExceptionArguments),
+}
+
+/// Arguments of `exceptions add`.
+#[derive(Args, Debug)]
+pub struct AddExceptionArguments {
+    /// Identifier of the new exception.
+    pub id: ExceptionName,
+    /// What it applies to: `target=NAME`, `group=NAME`, `team=NAME`, `service=NAME` or
+    /// `availability_zone=NAME`.
+    pub scope: ExceptionScope,
+    /// Key of the default that it replaces.
+    #[arg(value_parser = setting_key_parser())]
+    pub key: SettingKey,
+    /// Value, in the unit of the key.
+    pub value: String,
+    /// Why the exception exists.
+    #[arg(long, value_name = "TEXT", value_parser = parse_reason, help_heading = "Change")]
+    pub reason: String,
+    /// Who changes what.
+    #[command(flatten)]
+    pub identity: IdentityArguments,
+}
+
+/// Arguments of `exceptions remove`.
+#[derive(Args, Debug)]
+pub struct RemoveExceptionArguments {
+    /// Identifier of the exception.
+    pub id: ExceptionName,
+    /// Why the exception is removed.
+    #[arg(long, value_name = "TEXT", help_heading = "Change")]
+    pub reason: Option<String>,
+    /// Who changes what, and on which condition.
+    #[command(flatten)]
+    pub change: ChangeArguments,
+}
+
+/// Arguments of changes to an item that may exist.
+#[derive(Args, Clone, Debug)]
+pub struct ChangeArguments {
+    /// Revision of the item that you have seen, 0 if it was never set; another one is a conflict.
+    #[arg(long, value_name = "REVISION", help_heading = "Change")]
+    pub expect_revision: Option<u64>,
+    /// Who changes what.
+    #[command(flatten)]
+    pub identity: IdentityArguments,
+}
+
+/// Arguments of all changes.
+#[derive(Args, Clone, Debug)]
+pub struct IdentityArguments {
+    /// Your name, which the history keeps.
+    #[arg(
+        long,
+        env = "SASSAFRASSLIP_OPERATOR",
+        value_name = "NAME",
+        help_heading = "Change"
+    )]
+    pub operator: OperatorName,
+    /// Identifier of the change; drawn at random if absent. A repeated one changes nothing and
+    /// returns the first result.
+    #[arg(long, value_name = "ID", help_heading = "Change")]
+    pub change_id: Option<ChangeName>,
+}
+
+/// Arguments of `history`.
+#[derive(Args, Debug)]
+pub struct HistoryArguments {
+    /// Most changes to show.
+    #[arg(long, value_name = "N", default_value_t = 50)]
+    pub limit: u64,
+}
+
+/// Arguments of `explain`.
+#[derive(Args, Debug)]
+pub struct ExplainArguments {
+    /// Identifier from the answer's header `Sassafrasslip-Request-Id`.
+    #[arg(value_name = "REQUEST-ID")]
+    pub request_id: RequestId,
+}
+
+/// Arguments of `drain`.
+#[derive(Args, Debug)]
+pub struct DrainArguments {
+    /// Target instance.
+    pub target: InstanceName,
+    /// Let the target take work again.
+    #[arg(long)]
+    pub undo: bool,
+    /// Why the target is drained.
+    #[arg(long, value_name = "TEXT", help_heading = "Change")]
+    pub reason: Option<String>,
+    /// Your name, which the log keeps.
+    #[arg(
+        long,
+        env = "SASSAFRASSLIP_OPERATOR",
+        value_name = "NAME",
+        help_heading = "Change"
+    )]
+    pub operator: OperatorName,
+}
+
+/// Arguments of `completions`.
+#[derive(Args, Debug)]
+pub struct CompletionsArguments {
+    /// Shell.
+    pub shell: Shell,
+}
+
+fn setting_key_parser() -> impl TypedValueParser<Value = SettingKey> {
+    let names = SettingKey::ALL.iter().map(|key| key.name());
+    PossibleValuesParser::new(names).try_map(|name| name.parse::<SettingKey>())
+}
+
+fn parse_reason(text: &str) -> Result<String, String> {
+    if text.trim().is_empty() {
+        return Err("an exception needs a written reason".to_owned());
+    }
+    Ok(text.to_owned())
+}
--- /dev/null
+++ b/crates/client/src/errors.rs
@@ -0,0 +1,152 @@
+//! Errors of the client and their exit codes.
+
+use {
+    crate::arguments::OutputFormat,
+    http::StatusCode,
+    sassafrasslip_core::{
+        configuration::report::{ErrorBody, ErrorReport},
+        ids::ChangeName,
+    },
+    serde_json::Value,
+    std::{
+        error::Error,
+        fmt,
+        io::{self, Write},
+        net::SocketAddr,
+        result,
+    },
+};
+
+/// Result of a verb.
+pub type Result<T> = result::Result<T, ClientError>;
+
+/// Reason for which a verb failed.
+#[derive(Debug)]
+pub enum ClientError {
+    /// The entry answered with an error.
+    Answered {
+        /// Status.
+        status: StatusCode,
+        /// Error.
+        body: ErrorBody,
+        /// Change identifier, if the request was a change.
+        change_id: Option<ChangeName>,
+    },
+    /// Output or the runtime of this process failed.
+    Local(io::Error),
+    /// An argument is missing.
+    Usage(&'static str),
+    /// The entry gave no answer.
+    Unreachable {
+        /// Entry.
+        entry: SocketAddr,
+        /// Failed step and its reason.
+        fault: String,
+        /// Whether the request may have taken effect.
+        may_have_taken_effect: bool,
+        /// Change identifier, if the request was a change.
+        change_id: Option<ChangeName>,
+    },
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answered { body, .. } => write!(formatter, "{}: {}", body.code, body.message),
+            Self::Local(error) => write!(formatter, "{error}"),
+            Self::Unreachable { entry, fault, .. } => write!(formatter, "entry {entry}: {fault}"),
+            Self::Usage(fault) => formatter.write_str(fault),
+        }
+    }
+}
+
+impl Error for ClientError {}
+
+impl ClientError {
+    /// Returns the exit code.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Answered { status, .. } => match *status {
+                StatusCode::CONFLICT => 3,
+                StatusCode::SERVICE_UNAVAILABLE => 4,
+                StatusCode::GATEWAY_TIMEOUT => 5,
+                _ => 1,
+            },
+            Self::Local(_) => 1,
+            Self::Usage(_) => crate::USAGE_EXIT_CODE,
+            Self::Unreachable { .. } => 4,
+        }
+    }
+
+    /// Attaches the identifier of the change that failed.
+    pub fn with_change_id(mut self, id: &ChangeName) -> Self {
+        if let Self::Answered { change_id, .. } | Self::Unreachable { change_id, .. } = &mut self {
+            *change_id = Some(id.clone());
+        }
+        self
+    }
+
+    /// Returns whether the same request may succeed or be confirmed if it is repeated.
+    fn is_worth_repeating(&self) -> bool {
+        matches!(self.exit_code(), 4 | 5)
+    }
+
+    /// Writes the error for people or programs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the writer does.
+    pub fn write(&self, format: OutputFormat, writer: &mut dyn Write) -> io::Result<()> {
+        match format {
+            OutputFormat::Json => self.write_json(writer),
+            OutputFormat::Table => self.write_text(writer),
+        }
+    }
+
+    fn change_id(&self) -> Option<&ChangeName> {
+        match self {
+            Self::Answered { change_id, .. } | Self::Unreachable { change_id, .. } => {
+                change_id.as_ref()
+            }
+            Self::Local(_) | Self::Usage(_) => None,
+        }
+    }
+
+    fn write_text(&self, writer: &mut dyn Write) -> io::Result<()> {
+        writeln!(writer, "error: {self}")?;
+        if let Self::Answered { body, .. } = self
+            && body.current != Value::Null
+        {
+            writeln!(writer, "current: {}", body.current)?;
+        }
+        if let Self::Unreachable {
+            may_have_taken_effect: true,
+            ..
+        } = self
+        {
+            writeln!(writer, "The request may have taken effect.")?;
+        }
+        match self.change_id().filter(|_| self.is_worth_repeating()) {
+            Some(id) => writeln!(writer, "To repeat the same change, add --change-id {id}"),
+            None => self
+                .change_id()
+                .map_or(Ok(()), |id| writeln!(writer, "change id: {id}")),
+        }
+    }
+
+    fn write_json(&self, writer: &mut dyn Write) -> io::Result<()> {
+        let error = match self {
+            Self::Answered { body, .. } => body.clone(),
+            Self::Local(_) | Self::Unreachable { .. } | Self::Usage(_) => ErrorBody {
+                code: "unreachable".to_owned(),
+                message: self.to_string(),
+                current: Value::Null,
+            },
+        };
+        let mut report = serde_json::to_value(ErrorReport { error })?;
+        if let Some(id) = self.change_id() {
+            report["change_id"] = Value::from(id.as_str());
+        }
+        writeln!(writer, "{report:#}")
+    }
+}
--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -1,3 +1,7 @@
 //! Operator client of sassafrasslip.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sassafrasslip_client::run()
+}
--- /dev/null
+++ b/crates/client/src/verbs.rs
@@ -0,0 +1,42 @@
+//! Verbs of the client, one file a group.
+
+mod change;
+mod completions;
+mod defaults;
+mod drain;
+mod exceptions;
+mod explain;
+mod history;
+mod status;
+
+use crate::{
+    api::OperatorApi,
+    arguments::{ClientArguments, ClientVerb},
+    errors::{ClientError, Result},
+    output::Output,
+};
+
+/// Executes a verb.
+///
+/// # Errors
+///
+/// Fails if the entry does not answer or answers with an error.
+pub async fn execute(arguments: ClientArguments, output: &mut Output<'_>) -> Result<()> {
+    if let ClientVerb::Completions(arguments) = &arguments.verb {
+        return completions::execute(arguments, output);
+    }
+    let entry = arguments.connection.entry;
+    let entry = entry.ok_or(ClientError::Usage(
+        "no entry is named: give --entry IP:PORT or set SASSAFRASSLIP_ENTRY",
+    ))?;
+    let api = OperatorApi::new(entry);
+    match arguments.verb {
+        ClientVerb::Completions(_) => Ok(()),
+        ClientVerb::Defaults(verb) => defaults::execute(&api, verb, output).await,
+        ClientVerb::Drain(arguments) => drain::execute(&api, &arguments, output).await,
+        ClientVerb::Exceptions(verb) => exceptions::execute(&api, verb, output).await,
+        ClientVerb::Explain(arguments) => explain::execute(&api, &arguments, output).await,
+        ClientVerb::History(arguments) => history::execute(&api, &arguments, output).await,
+        ClientVerb::Status => status::execute(&api, output).await,
+    }
+}
