--- a/crates/core/src/configuration.rs
+++ b/crates/core/src/configuration.rs
@@ -6,6 +6,7 @@
 pub mod exception;
 pub mod keys;
 pub mod lease;
+pub mod plan;
 pub mod report;
 pub mod snapshot;
 pub mod state;
@@ -14,12 +15,10 @@
 pub use {
     acceptance::{AcceptanceReport, LeaseObservation, LeaseRecord, judge_acceptance},
     catalogue::{SettingKey, SettingValue, ValueError},
-    change::{
-        ChangeAction, ChangeCondition, ChangeFault, ChangePlan, ChangeRefusal, ChangeRequest,
-        ChangeWrite, HistoryRecord,
-    },
+    change::{ChangeAction, ChangeFault, ChangeRefusal, ChangeRequest},
     exception::{ExceptionScope, PolicyException},
     lease::{HolderEffect, LeaseGrant, LeaseHolder, RenewalKind},
+    plan::{ChangeCondition, ChangePlan, ChangeWrite, HistoryRecord},
     snapshot::{
         ConfigurationItem, ConfigurationSnapshot, ResolvedSetting, SettingSource, SettingTarget,
     },
--- a/crates/daemon/src/entry/configuration.rs
+++ b/crates/daemon/src/entry/configuration.rs
@@ -4,6 +4,7 @@
 //! a hanging call cannot delay the end of the lease.
 
 pub mod executor;
+pub mod lease_records;
 pub mod messages;
 mod renewal;
 pub mod store;
@@ -28,6 +29,7 @@
         error::ActorStopReason,
         message::Message,
     },
+    lease_records::StoredLease,
     messages::{ExpireLease, LoadEnded, PeerSnapshot, PublishEnded, RenewalEnded},
     renewal::{LeaseRenewal, RenewalOutcome},
     sassafrasslip_core::{
@@ -41,7 +43,7 @@
         log_event,
     },
     std::{fmt, future::Future, result, sync::Arc},
-    store::{ConfigurationStore, HeadRead, StoredLease},
+    store::{ConfigurationStore, HeadRead},
     tokio::{
         sync::mpsc,
         task::{AbortHandle, JoinSet},
--- a/crates/daemon/src/entry/configuration/renewal.rs
+++ b/crates/daemon/src/entry/configuration/renewal.rs
@@ -1,7 +1,10 @@
 //! One renewal of the lease record.
 
 use {
-    super::store::{ConfigurationStore, HeadRead, Result, StoreError, StoredLease},
+    super::{
+        lease_records::StoredLease,
+        store::{ConfigurationStore, HeadRead, Result, StoreError},
+    },
     crate::constants::{LEASE_DURATION, LEASE_RENEWAL_TIMEOUT},
     error_stack::Report,
     sassafrasslip_core::{
--- a/crates/daemon/src/entry/configuration/store.rs
+++ b/crates/daemon/src/entry/configuration/store.rs
@@ -11,14 +11,10 @@
     error_stack::{Report, ResultExt},
     sassafrasslip_core::{
         configuration::{
-            ChangePlan, ConfigurationState, HistoryRecord, LeaseObservation, LeaseRecord, Revision,
-            StoredItem,
-            keys::{
-                CHANGE_PREFIX, HEAD_KEY, ITEM_PREFIX, LEASE_PREFIX, change_id_key, change_key,
-                lease_key,
-            },
+            ChangePlan, ConfigurationState, HistoryRecord, Revision, StoredItem,
+            keys::{CHANGE_PREFIX, HEAD_KEY, ITEM_PREFIX, change_id_key, change_key},
         },
-        ids::{ChangeName, InstanceName},
+        ids::ChangeName,
     },
     serde::de::DeserializeOwned,
     std::{error::Error, fmt, result, sync::Arc},
@@ -64,7 +60,7 @@
 
 /// Content of a table item that cannot be decoded.
 #[derive(Clone, Debug, Eq, PartialEq)]
-struct MalformedItem {
+pub(super) struct MalformedItem {
     key: String,
     fault: String,
 }
@@ -100,19 +96,10 @@
     pub time_ms: u64,
 }
 
-/// Lease record with the version of its item.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct StoredLease {
-    /// Version; 0 if there is no record.
-    pub version: u64,
-    /// Record.
-    pub record: Option<LeaseRecord>,
-}
-
 /// Access to the configuration in the table. Clones share the connection.
 #[derive(Clone)]
 pub struct ConfigurationStore {
-    table: Arc<dyn TableService>,
+    pub(super) table: Arc<dyn TableService>,
 }
 
 impl fmt::Debug for ConfigurationStore {
@@ -187,7 +174,7 @@
         Ok(state)
     }
 
-    async fn scan_all(
+    pub(super) async fn scan_all(
         &self,
         prefix: &str,
     ) -> result::Result<Vec<(TableItem, u64)>, Report<PlatformError>> {
@@ -261,97 +248,22 @@
         let outcome = outcome.change_context(StoreError::Commit)?;
         Ok(matches!(outcome, TableOutcome::Committed { .. }))
     }
-
-    /// Reads the lease records of all entries, with the versions of their items.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the table does not answer or a record is malformed.
-    pub async fn read_leases(&self) -> Result<Vec<(LeaseObservation, u64)>> {
-        let items = self.scan_all(LEASE_PREFIX).await;
-        let items = items.change_context(StoreError::ReadLeases)?;
-        let leases = items.iter().map(|(item, time_ms)| {
-            let instance = item.key.trim_start_matches(LEASE_PREFIX).parse();
-            let instance = instance.map_err(|error| malformed(&item.key, error))?;
-            let observation = LeaseObservation {
-                instance,
-                record: decode(item)?,
-                time_ms: *time_ms,
-            };
-            Ok((observation, item.version))
-        });
-        leases
-            .collect::<result::Result<_, Report<MalformedItem>>>()
-            .change_context(StoreError::ReadLeases)
-    }
-
-    /// Reads the lease record of an entry.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the table does not answer or the record is malformed.
-    pub async fn read_lease(&self, instance: &InstanceName) -> Result<StoredLease> {
-        let read = self.table.read(&lease_key(instance)).await;
-        let read = read.change_context(StoreError::ReadLeases)?;
-        let record = decode_optional(&read.item).change_context(StoreError::ReadLeases)?;
-        Ok(StoredLease {
-            version: read.item.version,
-            record,
-        })
-    }
-
-    /// Writes a lease record, or deletes it if there is none, on the condition that it has
-    /// `version` and, if given, that the head has `head_version`. Returns the new version, or
-    /// `None` if a condition did not hold.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the table does not answer; the write may have taken effect all the same.
-    pub async fn write_lease(
-        &self,
-        instance: &InstanceName,
-        lease: &StoredLease,
-        head_version: Option<u64>,
-    ) -> Result<Option<u64>> {
-        let key = lease_key(instance);
-        let head = head_version.map(|version| TableCondition {
-            key: HEAD_KEY.to_owned(),
-            version,
-        });
-        let version = lease.version;
-        let own = TableCondition {
-            key: key.clone(),
-            version,
-        };
-        let value = lease.record.as_ref().map(encode_lease);
-        let transaction = TableTransaction {
-            conditions: head.into_iter().chain([own]).collect(),
-            writes: vec![TableWrite { key, value }],
-        };
-        let outcome = self.table.transact(transaction).await;
-        match outcome.change_context(StoreError::WriteLease)? {
-            TableOutcome::Committed { version, .. } => Ok(Some(version)),
-            TableOutcome::Conflict { .. } => Ok(None),
-        }
-    }
-}
-
-fn encode_lease(record: &LeaseRecord) -> String {
-    serde_json::to_string(record).unwrap_or_default()
 }
 
-fn malformed(key: &str, fault: impl ToString) -> Report<MalformedItem> {
+pub(super) fn malformed(key: &str, fault: impl ToString) -> Report<MalformedItem> {
     Report::new(MalformedItem {
         key: key.to_owned(),
         fault: fault.to_string(),
     })
 }
 
-fn decode<T: DeserializeOwned>(item: &TableItem) -> result::Result<T, Report<MalformedItem>> {
+pub(super) fn decode<T: DeserializeOwned>(
+    item: &TableItem,
+) -> result::Result<T, Report<MalformedItem>> {
     decode_optional(item)?.ok_or_else(|| malformed(&item.key, "the item is absent"))
 }
 
-fn decode_optional<T: DeserializeOwned>(
+pub(super) fn decode_optional<T: DeserializeOwned>(
     item: &TableItem,
 ) -> result::Result<Option<T>, Report<MalformedItem>> {
     let value = item.value.as_deref().map(serde_json::from_str);
