--- a/crates/core/src/configuration.rs
+++ b/crates/core/src/configuration.rs
@@ -7,6 +7,7 @@
 pub mod keys;
 pub mod lease;
 pub mod plan;
+pub mod renewal;
 pub mod report;
 pub mod snapshot;
 pub mod state;
@@ -19,6 +20,7 @@
     exception::{ExceptionScope, PolicyException},
     lease::{HolderEffect, LeaseGrant, LeaseHolder, RenewalKind},
     plan::{ChangeCondition, ChangePlan, ChangeWrite, HistoryRecord},
+    renewal::{KnownRecord, LeaseRenewal, RenewalDecision},
     snapshot::{
         ConfigurationItem, ConfigurationSnapshot, ResolvedSetting, SettingSource, SettingTarget,
     },
--- a/crates/daemon/src/entry/configuration.rs
+++ b/crates/daemon/src/entry/configuration.rs
@@ -31,10 +31,10 @@
     },
     lease_records::StoredLease,
     messages::{ExpireLease, LoadEnded, PeerSnapshot, PublishEnded, RenewalEnded},
-    renewal::{LeaseRenewal, RenewalOutcome},
+    renewal::{RenewalCall, RenewalOutcome},
     sassafrasslip_core::{
         chart::ChartError,
-        configuration::{ConfigurationSnapshot, HolderEffect, LeaseHolder},
+        configuration::{ConfigurationSnapshot, HolderEffect, LeaseHolder, LeaseRenewal},
         events::LogEvent::{
             LeaseLapsed, LeaseRenewed, PlatformRecovered, PlatformUnavailable, RevisionApplied,
             RevisionIgnored,
@@ -138,14 +138,17 @@
         self.renewal_running = true;
         self.renewal_wanted = false;
         let renewal = LeaseRenewal {
-            store: self.store.clone(),
-            instance: self.instance.clone(),
             incarnation: self.incarnation,
             kind: self.holder.renewal_kind(),
             published: self.holder.published(),
+        };
+        let call = RenewalCall {
+            store: self.store.clone(),
+            instance: self.instance.clone(),
+            renewal,
             lease_version: self.lease_version,
         };
-        self.spawn_call(async move { RenewalEnded(renewal.run().await) });
+        self.spawn_call(async move { RenewalEnded(call.run().await) });
     }
 
     fn start_load(&mut self) {
--- a/crates/daemon/src/entry/configuration/executor.rs
+++ b/crates/daemon/src/entry/configuration/executor.rs
@@ -1,7 +1,10 @@
 //! Execution of a change: commit, read-back after a lost answer, and the wait for acceptance.
 
 use {
-    super::store::{ConfigurationStore, StoreError},
+    super::{
+        lease_records::StoredLease,
+        store::{ConfigurationStore, StoreError},
+    },
     crate::{
         constants::{ACCEPTANCE_LIMIT, ACCEPTANCE_POLL_INTERVAL, CHANGE_RETRY_PAUSE},
         describe,
@@ -11,7 +14,7 @@
     sassafrasslip_core::{
         configuration::{
             AcceptanceReport, ChangeFault, ChangeRefusal, ChangeRequest, HistoryRecord,
-            judge_acceptance, report::ChangeReport,
+            LeaseObservation, judge_acceptance, report::ChangeReport,
         },
         events::LogEvent::{ChangeAccepted, ChangeConflict, ChangeRefused},
         log_event,
@@ -20,6 +23,9 @@
     tokio::time::{Instant, sleep, timeout_at},
 };
 
+/// Lease records of long-gone entries that one change deletes at most.
+const MAX_DELETED_LEASES: usize = 16;
+
 /// Result of a change.
 pub type Result<T> = result::Result<T, ChangeError>;
 
@@ -205,11 +211,12 @@
     ) {
         loop {
             if let Ok(leases) = self.store.read_leases().await {
-                let leases: Vec<_> = leases.into_iter().map(|(lease, _)| lease).collect();
-                let acceptance = judge_acceptance(change.record.revision, &leases);
+                let observations: Vec<_> = leases.iter().map(|(lease, _)| lease.clone()).collect();
+                let acceptance = judge_acceptance(change.record.revision, &observations);
                 let accepted = acceptance.is_accepted();
                 *seen = Some(acceptance);
                 if accepted {
+                    self.delete_forgotten(&leases).await;
                     return;
                 }
             }
@@ -218,6 +225,23 @@
     }
 }
 
+impl ChangeExecutor {
+    /// Deletes the records of entries that ended without a graceful stop long ago.
+    async fn delete_forgotten(&self, leases: &[(LeaseObservation, u64)]) {
+        let forgotten = leases
+            .iter()
+            .filter(|(lease, _)| lease.record.is_forgotten(lease.time_ms));
+        for (lease, version) in forgotten.take(MAX_DELETED_LEASES) {
+            let record = StoredLease {
+                version: *version,
+                record: None,
+            };
+            // A record that cannot be deleted now is found again by the next change.
+            let _ = self.store.write_lease(&lease.instance, &record, None).await;
+        }
+    }
+}
+
 enum AttemptError {
     Refused(ChangeRefusal),
     Unreachable(String),
--- a/crates/daemon/src/entry/configuration/renewal.rs
+++ b/crates/daemon/src/entry/configuration/renewal.rs
@@ -1,28 +1,25 @@
 //! One renewal of the lease record.
 
 use {
-    super::{
-        lease_records::StoredLease,
-        store::{ConfigurationStore, HeadRead, Result, StoreError},
+    super::store::{ConfigurationStore, HeadRead, Result, StoreError},
+    crate::{
+        constants::{LEASE_DURATION, LEASE_RENEWAL_TIMEOUT},
+        entry::configuration::lease_records::StoredLease,
     },
-    crate::constants::{LEASE_DURATION, LEASE_RENEWAL_TIMEOUT},
     error_stack::Report,
     sassafrasslip_core::{
-        configuration::{LeaseGrant, LeaseRecord, RenewalKind, Revision},
+        configuration::{KnownRecord, LeaseGrant, LeaseRenewal, RenewalDecision},
         ids::InstanceName,
     },
     tokio::time::{Instant, timeout},
 };
 
-/// What a renewal writes and is conditional on.
+/// Renewal with what it needs to reach the table.
 #[derive(Clone, Debug)]
-pub(super) struct LeaseRenewal {
+pub(super) struct RenewalCall {
     pub(super) store: ConfigurationStore,
     pub(super) instance: InstanceName,
-    pub(super) incarnation: u64,
-    pub(super) kind: RenewalKind,
-    /// Revision that has been sent to the agents; without one no lease is taken.
-    pub(super) published: Option<Revision>,
+    pub(super) renewal: LeaseRenewal,
     /// Version of the record, if it is known to be this incarnation's.
     pub(super) lease_version: Option<u64>,
 }
@@ -49,7 +46,7 @@
     pub(super) outcome: Result<RenewalOutcome>,
 }
 
-impl LeaseRenewal {
+impl RenewalCall {
     /// Reads the head and writes the lease record.
     pub(super) async fn run(self) -> RenewalEnd {
         // The lease counts from before the head is read: its end in the table is computed from
@@ -66,54 +63,37 @@
     async fn renew(&self, started: Instant, read: &mut Option<HeadRead>) -> Result<RenewalOutcome> {
         let head = self.store.read_head().await?;
         *read = Some(head);
-        let Some(published) = self.published else {
-            return Ok(RenewalOutcome::Behind);
-        };
-        if self.kind == RenewalKind::Acquire && published != head.revision {
-            return Ok(RenewalOutcome::Behind);
-        }
-        let version = match self.lease_version {
-            Some(version) => version,
+        let (version, decision) = match self.lease_version {
+            Some(version) => (version, self.decide(&head, KnownRecord::Own)),
             None => {
                 let lease = self.store.read_lease(&self.instance).await?;
-                if self.is_superseded(&lease, head.time_ms) {
-                    return Ok(RenewalOutcome::Superseded);
-                }
-                lease.version
+                let known = KnownRecord::Read(lease.record.as_ref());
+                (lease.version, self.decide(&head, known))
             }
         };
-        self.write(started, &head, version, published).await
+        match decision {
+            RenewalDecision::Behind => Ok(RenewalOutcome::Behind),
+            RenewalDecision::Superseded => Ok(RenewalOutcome::Superseded),
+            RenewalDecision::Write { record, at_head } => {
+                let record = Some(record);
+                let lease = StoredLease { version, record };
+                let head_version = at_head.then_some(head.version);
+                self.write(started, lease, head_version).await
+            }
+        }
     }
 
-    /// A record of another incarnation may be replaced only after its end: its process may still
-    /// be alive and act on the lease.
-    fn is_superseded(&self, lease: &StoredLease, time_ms: u64) -> bool {
-        match (&lease.record, self.kind) {
-            (None, kind) => kind == RenewalKind::Renew,
-            (Some(record), _) if record.incarnation == self.incarnation => false,
-            (Some(record), RenewalKind::Acquire) => record.is_live(time_ms),
-            (Some(_), RenewalKind::Renew) => true,
-        }
+    fn decide(&self, head: &HeadRead, known: KnownRecord<'_>) -> RenewalDecision {
+        self.renewal
+            .decide(head.revision, head.time_ms, known, LEASE_DURATION)
     }
 
     async fn write(
         &self,
         started: Instant,
-        head: &HeadRead,
-        version: u64,
-        published: Revision,
+        lease: StoredLease,
+        head_version: Option<u64>,
     ) -> Result<RenewalOutcome> {
-        let duration_ms = u64::try_from(LEASE_DURATION.as_millis()).unwrap_or_default();
-        let record = LeaseRecord {
-            incarnation: self.incarnation,
-            applied_revision: published,
-            expires_ms: head.time_ms + duration_ms,
-        };
-        let lease = StoredLease {
-            version,
-            record: Some(record),
-        };
-        let head_version = (self.kind == RenewalKind::Acquire).then_some(head.version);
         let written = self
             .store
             .write_lease(&self.instance, &lease, head_version)
@@ -122,7 +102,7 @@
             return Ok(RenewalOutcome::Moved);
         };
         let grant = LeaseGrant {
-            kind: self.kind,
+            kind: self.renewal.kind,
             expires_at: started + LEASE_DURATION,
         };
         Ok(RenewalOutcome::Granted { grant, version })
