Name the key and the allowed values in every settings error

Trials with broken files showed errors that did not help: a missing key was named only in the library's text, a word that is no choice gave "enum LogLevel does not have variant constructor", a repeated key or section was merged without a word, a key outside of sections was called a section, `ranks = 0` was accepted, and `GET, HEAD` was read as `GET` and ` HEAD`, so that HEAD never counted as idempotent. Arguments for names and the log level are now checked as arguments instead of being reported as faults of the file.

--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -1,7 +1,9 @@
 //! Command-line arguments of the daemon.
 
 use {
-    clap::{Args, Parser, Subcommand},
+    crate::options::log::LogLevel,
+    clap::{Args, Parser, Subcommand, builder::PossibleValuesParser},
+    sassafrasslip_core::ids::{InstanceName, ZoneName},
     std::{net::SocketAddr, path::PathBuf},
 };
 
@@ -69,10 +71,10 @@
 pub struct OverrideArguments {
     /// Name of the instance.
     #[arg(long, value_name = "NAME", help_heading = "Instance")]
-    pub instance: Option<String>,
+    pub instance: Option<InstanceName>,
     /// Availability zone of the instance.
     #[arg(long, value_name = "NAME", help_heading = "Instance")]
-    pub availability_zone: Option<String>,
+    pub availability_zone: Option<ZoneName>,
     /// Address for links between the system's processes.
     #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
     pub link_address: Option<SocketAddr>,
@@ -83,6 +85,11 @@
     #[arg(long, value_name = "IP:PORT", help_heading = "Addresses")]
     pub platform_address: Option<SocketAddr>,
     /// Lowest level of log lines.
-    #[arg(long, value_name = "LEVEL", help_heading = "Logs")]
+    #[arg(
+        long,
+        value_name = "LEVEL",
+        value_parser = PossibleValuesParser::new(LogLevel::WORDS),
+        help_heading = "Logs"
+    )]
     pub log_level: Option<String>,
 }
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -1,6 +1,7 @@
 //! Settings of a process: one struct and one file a section of the INI file.
 
 pub mod agent;
+pub mod choice;
 pub mod entry;
 pub mod instance;
 pub mod log;
@@ -8,6 +9,7 @@
 pub mod platform;
 pub mod source;
 pub mod stop;
+pub mod units;
 
 pub use {
     agent::AgentOptions, entry::EntryOptions, instance::InstanceOptions, log::LogOptions,
@@ -59,9 +61,9 @@
             DaemonCommand::Agent(arguments) => {
                 let mut source = Self::open(&arguments.file, &arguments.overrides)?;
                 source.require_section("agent")?;
-                source.set_address("agent", "target_address", arguments.target_address);
+                source.set("agent", "target_address", arguments.target_address.as_ref());
                 let link_address = arguments.overrides.link_address;
-                source.set_address("agent", "link_address", link_address);
+                source.set("agent", "link_address", link_address.as_ref());
                 Self::from_source(&source)
             }
             DaemonCommand::Check(arguments) => {
@@ -71,10 +73,14 @@
             DaemonCommand::Entry(arguments) => {
                 let mut source = Self::open(&arguments.file, &arguments.overrides)?;
                 source.require_section("entry")?;
-                source.set_address("entry", "caller_address", arguments.caller_address);
-                source.set_address("entry", "operator_address", arguments.operator_address);
+                source.set("entry", "caller_address", arguments.caller_address.as_ref());
+                source.set(
+                    "entry",
+                    "operator_address",
+                    arguments.operator_address.as_ref(),
+                );
                 let link_address = arguments.overrides.link_address;
-                source.set_address("entry", "link_address", link_address);
+                source.set("entry", "link_address", link_address.as_ref());
                 Self::from_source(&source)
             }
         }
@@ -82,21 +88,22 @@
 
     fn open(file: &Path, overrides: &OverrideArguments) -> Result<SettingsSource> {
         let mut source = SettingsSource::open(file, SECTIONS)?;
-        source.set("instance", "name", overrides.instance.clone());
+        source.set("instance", "name", overrides.instance.as_ref());
         source.set(
             "instance",
             "availability_zone",
-            overrides.availability_zone.clone(),
+            overrides.availability_zone.as_ref(),
         );
-        source.set_address("metrics", "address", overrides.metrics_address);
-        source.set_address("platform", "address", overrides.platform_address);
-        source.set("log", "level", overrides.log_level.clone());
+        source.set("metrics", "address", overrides.metrics_address.as_ref());
+        source.set("platform", "address", overrides.platform_address.as_ref());
+        source.set("log", "level", overrides.log_level.as_ref());
         Ok(source)
     }
 
     fn from_source(source: &SettingsSource) -> Result<Self> {
         if !source.has_section("entry") && !source.has_section("agent") {
-            source.require_section("entry")?;
+            let fault = "the section `entry` or `agent` is missing".to_owned();
+            return Err(source.file_error(fault));
         }
         Ok(Self {
             instance: source.section("instance")?,
--- a/crates/daemon/src/options/agent.rs
+++ b/crates/daemon/src/options/agent.rs
@@ -1,31 +1,36 @@
 //! Section `agent`.
 
 use {
+    super::{
+        choice::setting_choices,
+        units::{AddressText, CountText, MethodsText, NumberText},
+    },
     sassafrasslip_core::ids::{GroupName, ServiceName},
     serde::Deserialize,
-    serde_with::{DisplayFromStr, StringWithSeparator, formats::CommaSeparator, serde_as},
+    serde_with::serde_as,
     std::net::SocketAddr,
 };
 
-/// Kind of the service behind an agent.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "lowercase")]
-pub enum TargetKind {
-    /// Model engine.
-    Model,
-    /// Plain HTTP service.
-    Plain,
+setting_choices! {
+    /// Kind of the service behind an agent.
+    pub enum TargetKind {
+        /// Model engine.
+        Model = "model",
+        /// Plain HTTP service.
+        Plain = "plain",
+    }
 }
 
-/// How the engine treats fencing tokens.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "lowercase")]
-pub enum FencingSupport {
-    /// The engine refuses an order with an old token.
-    Checks,
-    /// The engine ignores tokens, so that the agent is the only check.
-    #[default]
-    Ignores,
+setting_choices! {
+    /// How the engine treats fencing tokens.
+    #[derive(Default)]
+    pub enum FencingSupport {
+        /// The engine refuses an order with an old token.
+        Checks = "checks",
+        /// The engine ignores tokens, so that the agent is the only check.
+        #[default]
+        Ignores = "ignores",
+    }
 }
 
 /// The target of an agent.
@@ -34,8 +39,10 @@
 #[serde(deny_unknown_fields)]
 pub struct AgentOptions {
     /// Address for links of entries and of the placer.
+    #[serde_as(as = "AddressText")]
     pub link_address: SocketAddr,
     /// Address of the engine or service.
+    #[serde_as(as = "AddressText")]
     pub target_address: SocketAddr,
     /// Service that the target provides.
     pub service: ServiceName,
@@ -44,19 +51,19 @@
     /// Model group to which the target belongs; for model engines.
     pub group: Option<GroupName>,
     /// First rank of the group that the target runs.
-    #[serde_as(as = "DisplayFromStr")]
+    #[serde_as(as = "NumberText")]
     #[serde(default = "default_first_rank")]
     pub first_rank: u32,
     /// Ranks of the group that the target runs.
-    #[serde_as(as = "DisplayFromStr")]
+    #[serde_as(as = "CountText")]
     #[serde(default = "default_ranks")]
     pub ranks: u32,
     /// Requests that the target can work on at once.
-    #[serde_as(as = "DisplayFromStr")]
+    #[serde_as(as = "CountText")]
     #[serde(default = "default_concurrency")]
     pub concurrency: u32,
     /// Methods whose calls may be repeated, for plain services.
-    #[serde_as(as = "StringWithSeparator::<CommaSeparator, String>")]
+    #[serde_as(as = "MethodsText")]
     #[serde(default = "default_idempotent_methods")]
     pub idempotent_methods: Vec<String>,
     /// How the engine treats fencing tokens.
--- a/crates/daemon/src/options/log.rs
+++ b/crates/daemon/src/options/log.rs
@@ -1,31 +1,33 @@
 //! Section `log`.
 
-use serde::Deserialize;
+use {super::choice::setting_choices, serde::Deserialize};
 
-/// Lowest level of log lines.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "lowercase")]
-pub enum LogLevel {
-    /// Errors only.
-    Error,
-    /// Warnings and errors.
-    Warn,
-    /// Decisions and life cycle.
-    #[default]
-    Info,
-    /// Everything.
-    Debug,
+setting_choices! {
+    /// Lowest level of log lines.
+    #[derive(Default)]
+    pub enum LogLevel {
+        /// Errors only.
+        Error = "error",
+        /// Warnings and errors.
+        Warn = "warn",
+        /// Decisions and life cycle.
+        #[default]
+        Info = "info",
+        /// Everything.
+        Debug = "debug",
+    }
 }
 
-/// Form of log lines.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "lowercase")]
-pub enum LogFormat {
-    /// One JSON object a line.
-    #[default]
-    Json,
-    /// Text for people.
-    Text,
+setting_choices! {
+    /// Form of log lines.
+    #[derive(Default)]
+    pub enum LogFormat {
+        /// One JSON object a line.
+        #[default]
+        Json = "json",
+        /// Text for people.
+        Text = "text",
+    }
 }
 
 /// Log output, which goes to standard error.
--- a/crates/daemon/src/options/platform.rs
+++ b/crates/daemon/src/options/platform.rs
@@ -1,7 +1,7 @@
 //! Section `platform`.
 
 use {
-    super::stop::MillisecondsText,
+    super::units::{AddressText, PositiveDurationText},
     serde::Deserialize,
     serde_with::serde_as,
     std::{net::SocketAddr, time::Duration},
@@ -13,9 +13,10 @@
 #[serde(deny_unknown_fields)]
 pub struct PlatformOptions {
     /// Address of the table service, the object store and the instance list.
+    #[serde_as(as = "AddressText")]
     pub address: SocketAddr,
     /// Longest wait for an answer.
-    #[serde_as(as = "MillisecondsText")]
+    #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_timeout")]
     pub timeout: Duration,
 }
--- a/crates/daemon/src/options/source.rs
+++ b/crates/daemon/src/options/source.rs
@@ -4,11 +4,12 @@
     super::Result,
     config::{Config, ConfigError, File, FileFormat, Map, Value, ValueKind},
     error_stack::Report,
+    ini::Ini,
     serde::de::DeserializeOwned,
     std::{
+        collections::BTreeSet,
         error::Error,
         fmt,
-        net::SocketAddr,
         path::{Path, PathBuf},
     },
 };
@@ -31,13 +32,15 @@
 impl fmt::Display for SettingsError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.file.display())?;
-        if let Some(section) = &self.section {
-            write!(formatter, ": [{section}]")?;
+        match (&self.section, &self.key) {
+            (Some(section), _) => write!(formatter, ": [{section}]")?,
+            (None, Some(_)) => write!(formatter, ":")?,
+            (None, None) => {}
         }
         match (&self.key, &self.value) {
             (Some(key), Some(value)) => write!(formatter, " {key} = {value}")?,
             (Some(key), None) => write!(formatter, " {key}")?,
-            _ => {}
+            (None, _) => {}
         }
         write!(formatter, ": {}", self.fault)
     }
@@ -57,40 +60,47 @@
     ///
     /// # Errors
     ///
-    /// Fails if the file is missing, is not INI, or has an unknown section.
+    /// Fails if the file is missing, is not INI, has an unknown section, or repeats a key.
     pub fn open(file: &Path, known: &[&str]) -> Result<Self> {
-        let fail = |section: Option<String>, fault: String| {
-            let file = file.to_owned();
-            Report::new(SettingsError {
-                file,
-                section,
-                key: None,
-                value: None,
-                fault,
-            })
+        let source = Self {
+            file: file.to_owned(),
+            sections: Map::new(),
         };
         let text = std::fs::read_to_string(file)
-            .map_err(|error| fail(None, format!("cannot read the file: {error}")))?;
-        let values = Config::builder()
+            .map_err(|error| source.file_error(format!("cannot read the file: {error}")))?;
+        source.check_keys(&text, known)?;
+        let sections = Config::builder()
             .add_source(File::from_str(&text, FileFormat::Ini))
             .build()
-            .and_then(Config::try_deserialize::<Map<String, Value>>)
-            .map_err(|error| fail(None, format!("not a valid INI file: {error}")))?;
-        let mut sections = Map::new();
-        for (name, value) in values {
-            if !known.contains(&name.as_str()) {
+            .and_then(Config::try_deserialize)
+            .map_err(|error| source.file_error(format!("not a valid INI file: {error}")))?;
+        Ok(Self { sections, ..source })
+    }
+
+    /// Refuses what the configuration library would merge without a word: keys outside of
+    /// sections, and keys that stand twice in a section.
+    fn check_keys(&self, text: &str, known: &[&str]) -> Result<()> {
+        let parsed = Ini::load_from_str(text)
+            .map_err(|error| self.file_error(format!("not a valid INI file: {error}")))?;
+        let mut seen = BTreeSet::new();
+        for (section, entries) in &parsed {
+            if let Some(section) = section.filter(|section| !known.contains(section)) {
                 let fault = format!("unknown section; expected one of {}", known.join(", "));
-                return Err(fail(Some(name), fault));
+                return Err(self.error(section, None, None, fault));
+            }
+            for (key, value) in entries.iter() {
+                let (key_name, value) = (Some(key.to_owned()), Some(value.to_owned()));
+                let Some(section) = section else {
+                    let fault = "the key stands outside of a section".to_owned();
+                    return Err(self.error("", key_name, value, fault));
+                };
+                if !seen.insert((section, key)) {
+                    let fault = "the key stands more than once".to_owned();
+                    return Err(self.error(section, key_name, value, fault));
+                }
             }
-            let entries = value
-                .into_table()
-                .map_err(|_| fail(Some(name.clone()), "expected a section".to_owned()))?;
-            sections.insert(name, entries);
         }
-        Ok(Self {
-            file: file.to_owned(),
-            sections,
-        })
+        Ok(())
     }
 
     /// Returns whether the file has a section.
@@ -111,18 +121,14 @@
     }
 
     /// Replaces a value by that of an argument, if one was given.
-    pub fn set(&mut self, section: &str, key: &str, value: Option<String>) {
+    pub fn set<T: ToString>(&mut self, section: &str, key: &str, value: Option<&T>) {
         if let Some(value) = value {
             let entries = self.sections.entry(section.to_owned()).or_default();
-            entries.insert(key.to_owned(), Value::new(None, ValueKind::String(value)));
+            let value = ValueKind::String(value.to_string());
+            entries.insert(key.to_owned(), Value::new(None, value));
         }
     }
 
-    /// Replaces an address by that of an argument, if one was given.
-    pub fn set_address(&mut self, section: &str, key: &str, address: Option<SocketAddr>) {
-        self.set(section, key, address.map(|address| address.to_string()));
-    }
-
     /// Reads a section that may be left out if it has no mandatory key.
     ///
     /// # Errors
@@ -149,26 +155,28 @@
         }
     }
 
-    /// Finds the key that an error is about: the library reports it only in its text.
+    /// Finds the key that an error is about: for an unknown key, the library reports it only in
+    /// its text.
     fn explain(
         &self,
         section: &str,
         entries: &Map<String, Value>,
         error: &ConfigError,
     ) -> Report<SettingsError> {
-        let fault = match error {
-            ConfigError::At { error, .. } => error.to_string(),
-            error => error.to_string(),
-        };
-        let named = match error {
-            ConfigError::At { key: Some(key), .. } => Some(key.clone()),
-            _ => fault.split('`').nth(1).map(str::to_owned),
+        let (key, fault) = match error {
+            ConfigError::NotFound(key) => (Some(key.clone()), "the key is missing".to_owned()),
+            ConfigError::At {
+                error,
+                key: Some(key),
+                ..
+            } => (Some(key.clone()), error.to_string()),
+            error => {
+                let fault = error.to_string();
+                (fault.split('`').nth(1).map(str::to_owned), fault)
+            }
         };
-        let value = named
-            .as_ref()
-            .and_then(|key| entries.get(key))
-            .map(ToString::to_string);
-        self.error(section, named, value, fault)
+        let value = key.as_ref().and_then(|key| entries.get(key));
+        self.error(section, key, value.map(ToString::to_string), fault)
     }
 
     fn error(
@@ -181,10 +189,20 @@
         let file = self.file.clone();
         Report::new(SettingsError {
             file,
-            section: Some(section.to_owned()),
+            section: Some(section.to_owned()).filter(|section| !section.is_empty()),
             key,
             value,
             fault,
         })
     }
+
+    pub(super) fn file_error(&self, fault: String) -> Report<SettingsError> {
+        Report::new(SettingsError {
+            file: self.file.clone(),
+            section: None,
+            key: None,
+            value: None,
+            fault,
+        })
+    }
 }
