--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -69,6 +69,7 @@
     4006 LeaseRenewed Info "configuration lease is held again";
     4007 ChangeRefused Warn "configuration change refused";
     4008 DrainOrdered Info "operator ordered a drain or its end";
+    4009 ChangeUnconfirmed Warn "configuration change is committed but not confirmed in time";
     5001 PlacementDecided Info "placement decision";
     5002 MapChangeStarted Info "expert map change started";
     5003 MapChangeCommitted Info "expert map change committed";
--- a/crates/daemon/src/entry/configuration.rs
+++ b/crates/daemon/src/entry/configuration.rs
@@ -34,7 +34,7 @@
     renewal::{RenewalCall, RenewalOutcome},
     sassafrasslip_core::{
         chart::ChartError,
-        configuration::{ConfigurationSnapshot, HolderEffect, LeaseHolder, LeaseRenewal},
+        configuration::{ConfigurationSnapshot, HolderEffect, LeaseHolder, LeaseRenewal, Revision},
         events::LogEvent::{
             LeaseLapsed, LeaseRenewed, PlatformRecovered, PlatformUnavailable, RevisionApplied,
             RevisionIgnored,
@@ -88,6 +88,8 @@
     holder: LeaseHolder,
     /// Version of the lease record, as long as it is known to be this incarnation's.
     lease_version: Option<u64>,
+    ignored_revision: Option<Revision>,
+    load_fault: Option<String>,
     reachable: bool,
     renewal_running: bool,
     renewal_wanted: bool,
@@ -219,16 +221,29 @@
     }
 
     fn compare_head(&mut self, head: &HeadRead) {
-        let applied = self.holder.applied();
-        if applied < Some(head.revision) {
+        if self.holder.applied() < Some(head.revision) {
             self.start_load();
-        } else if applied > Some(head.revision) {
-            log_event!(
-                RevisionIgnored,
-                revision = head.revision,
-                applied = applied.unwrap_or_default()
-            );
+        } else {
+            self.note_revision(head.revision);
+        }
+    }
+
+    /// Logs a revision that is older than the one in force, once in a row.
+    fn note_revision(&mut self, revision: Revision) {
+        let applied = self.holder.applied().unwrap_or_default();
+        let ignored = Some(revision).filter(|revision| *revision < applied);
+        if ignored.is_some() && ignored != self.ignored_revision {
+            log_event!(RevisionIgnored, revision = revision, applied = applied);
+        }
+        self.ignored_revision = ignored;
+    }
+
+    /// Logs the fault of a load, once in a row.
+    fn note_load(&mut self, fault: Option<String>) {
+        if let Some(fault) = fault.as_ref().filter(|_| fault != self.load_fault) {
+            log_event!(PlatformUnavailable, service = "table", fault = fault);
         }
+        self.load_fault = fault;
     }
 
     fn note_platform(&mut self, fault: Option<&str>) {
@@ -297,6 +312,8 @@
             view_sender: parts.view_sender,
             holder: LeaseHolder::new()?,
             lease_version: None,
+            ignored_revision: None,
+            load_fault: None,
             reachable: true,
             renewal_running: false,
             renewal_wanted: false,
--- a/crates/daemon/src/entry/configuration/executor.rs
+++ b/crates/daemon/src/entry/configuration/executor.rs
@@ -16,7 +16,8 @@
             AcceptanceReport, ChangeFault, ChangeRefusal, ChangeRequest, HistoryRecord,
             LeaseObservation, judge_acceptance, report::ChangeReport,
         },
-        events::LogEvent::{ChangeAccepted, ChangeConflict, ChangeRefused},
+        events::LogEvent::{ChangeAccepted, ChangeConflict, ChangeRefused, ChangeUnconfirmed},
+        ids::InstanceName,
         log_event,
     },
     std::{error::Error, fmt, result},
@@ -52,8 +53,7 @@
         match self {
             Self::Invalid(fault) => write!(formatter, "{fault}"),
             Self::NotConfirmed(report) => {
-                let pending = report.pending.iter().map(ToString::to_string);
-                let pending = pending.collect::<Vec<_>>().join(", ");
+                let pending = join_names(&report.pending);
                 write!(
                     formatter,
                     "revision {} is committed but not yet confirmed everywhere; entries that have \
@@ -192,6 +192,13 @@
         let accepted = timeout_at(self.deadline, wait).await.is_ok();
         let report = change_report(change, acceptance.unwrap_or_default(), accepted);
         if !accepted {
+            log_event!(
+                ChangeUnconfirmed,
+                item = report.item,
+                revision = report.revision,
+                change_id = report.change_id,
+                pending = join_names(&report.pending)
+            );
             return Err(ChangeError::NotConfirmed(Box::new(report)));
         }
         log_event!(
@@ -258,6 +265,11 @@
     platform.is_none_or(PlatformError::may_have_taken_effect)
 }
 
+fn join_names(entries: &[InstanceName]) -> String {
+    let names = entries.iter().map(ToString::to_string);
+    names.collect::<Vec<_>>().join(", ")
+}
+
 fn unavailable(fault: String, may_have_taken_effect: bool) -> ChangeError {
     ChangeError::TableUnavailable {
         fault,
--- a/crates/daemon/src/entry/configuration/messages.rs
+++ b/crates/daemon/src/entry/configuration/messages.rs
@@ -8,13 +8,9 @@
         message::{Context, Message},
         reply::DelegatedReply,
     },
-    sassafrasslip_core::{
-        configuration::{
-            ChangeRequest, ConfigurationSnapshot, ConfigurationView, HistoryRecord, Revision,
-            report::ChangeReport,
-        },
-        events::LogEvent::PlatformUnavailable,
-        log_event,
+    sassafrasslip_core::configuration::{
+        ChangeRequest, ConfigurationSnapshot, ConfigurationView, HistoryRecord, HolderEffect,
+        Revision, report::ChangeReport,
     },
     std::{convert::Infallible, result, sync::Arc},
     tokio::time::Instant,
@@ -139,10 +135,11 @@
         self.load_running = false;
         match loaded {
             Ok(snapshot) => {
+                self.note_load(None);
                 let effect = self.holder.on_revision_read(snapshot);
                 self.carry_out(effect);
             }
-            Err(fault) => log_event!(PlatformUnavailable, service = "table", fault = fault),
+            Err(fault) => self.note_load(Some(fault)),
         }
     }
 }
@@ -152,6 +149,9 @@
 
     async fn handle(&mut self, PeerSnapshot(snapshot): PeerSnapshot, _: &mut Context<Self, ()>) {
         let effect = self.holder.on_snapshot_received(Arc::new(snapshot));
+        if let HolderEffect::Ignored(revision) = effect {
+            self.note_revision(revision);
+        }
         self.carry_out(effect);
     }
 }
--- a/crates/daemon/tests/configuration_actor.rs
+++ b/crates/daemon/tests/configuration_actor.rs
@@ -9,9 +9,12 @@
     },
     kameo::error::SendError,
     sassafrasslip_core::configuration::{
-        ChangeRefusal, ChangeRequest, ConfigurationSnapshot, report::ChangeReport,
+        ChangeRefusal, ChangeRequest, ConfigurationSnapshot, LeaseRecord, report::ChangeReport,
+    },
+    sassafrasslip_daemon::{
+        entry::configuration::{ChangeError, ReadHistory},
+        platform::{TableService, TableTransaction, TableWrite},
     },
-    sassafrasslip_daemon::entry::configuration::{ChangeError, ReadHistory},
     std::{
         result,
         sync::{Arc, atomic::Ordering},
@@ -264,3 +267,30 @@
     sleep(Duration::from_secs(5)).await;
     assert!(second.is_live() && !first.is_live());
 }
+
+#[tokio::test(start_paused = true)]
+async fn entry_that_is_gone_for_a_day_is_forgotten() {
+    let table = MemoryTable::new();
+    let entries = start_entries(&table, 1).await;
+    let day = 24 * 60 * 60 * 1_000;
+    for (instance, expires_ms) in [("gone", 5_000), ("cut-off", table.time_ms() - day / 2)] {
+        let record = LeaseRecord {
+            incarnation: 9,
+            applied_revision: 0,
+            expires_ms,
+        };
+        let write = TableWrite {
+            key: format!("config/lease/{instance}"),
+            value: serde_json::to_string(&record).ok(),
+        };
+        let transaction = TableTransaction {
+            conditions: Vec::new(),
+            writes: vec![write],
+        };
+        entries[0].link.transact(transaction).await.unwrap();
+    }
+    let report = execute(&entries[0], change("c1", "2")).await.unwrap();
+    assert_eq!(report.cut_off, ["cut-off".parse().unwrap()]);
+    let leases = table.keys("config/lease/");
+    assert_eq!(leases, ["config/lease/cut-off", "config/lease/entry-1"]);
+}
--- a/crates/daemon/tests/configuration_support/table.rs
+++ b/crates/daemon/tests/configuration_support/table.rs
@@ -55,7 +55,7 @@
 
     /// The table's clock differs from those of its users.
     pub(crate) fn time_ms(&self) -> u64 {
-        7_000_000 + u64::try_from(self.started.elapsed().as_millis()).unwrap()
+        700_000_000 + u64::try_from(self.started.elapsed().as_millis()).unwrap()
     }
 
     pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
