--- a/crates/core/src/configuration.rs
+++ b/crates/core/src/configuration.rs
@@ -1,16 +1,30 @@
 //! Fleet-wide defaults, exceptions with reasons, and their resolution.
 
+pub mod acceptance;
 pub mod catalogue;
+pub mod change;
 pub mod exception;
+pub mod keys;
+pub mod lease;
+pub mod plan;
+pub mod renewal;
+pub mod report;
 pub mod snapshot;
+pub mod state;
 pub mod view;
 
 pub use {
+    acceptance::{AcceptanceReport, LeaseObservation, LeaseRecord, judge_acceptance},
     catalogue::{SettingKey, SettingValue, ValueError},
+    change::{ChangeAction, ChangeFault, ChangeRefusal, ChangeRequest},
     exception::{ExceptionScope, PolicyException},
+    lease::{HolderEffect, LeaseGrant, LeaseHolder, RenewalKind},
+    plan::{ChangeCondition, ChangePlan, ChangeWrite, HistoryRecord},
+    renewal::{KnownRecord, LeaseRenewal, RenewalDecision},
     snapshot::{
         ConfigurationItem, ConfigurationSnapshot, ResolvedSetting, SettingSource, SettingTarget,
     },
+    state::{ConfigurationState, StateError, StoredItem},
     view::ConfigurationView,
 };
 
--- /dev/null
+++ b/crates/core/src/configuration/change.rs
@@ -0,0 +1,224 @@
+//! Changes that operators ask for: validation and conflicts.
+
+use {
+    super::{
+        ConfigurationSnapshot, ExceptionScope, Revision, SettingKey,
+        keys::{default_key, exception_key},
+    },
+    crate::ids::{ChangeName, ExceptionName, OperatorName},
+    serde::Serialize,
+    serde_json::Value,
+    std::{error::Error, fmt, result},
+};
+
+/// Result of planning a change.
+pub type Result<T> = result::Result<T, ChangeRefusal>;
+
+/// Longest reason, in bytes.
+pub const MAX_REASON_BYTES: usize = 2_000;
+
+/// What a change does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ChangeAction {
+    /// Sets a fleet-wide default.
+    SetDefault {
+        /// Key.
+        key: SettingKey,
+        /// New value as text.
+        value: String,
+    },
+    /// Adds an exception.
+    AddException {
+        /// Identifier, not in use.
+        id: ExceptionName,
+        /// What the exception applies to.
+        scope: ExceptionScope,
+        /// Default that it replaces.
+        key: SettingKey,
+        /// Value as text.
+        value: String,
+    },
+    /// Removes an exception.
+    RemoveException {
+        /// Identifier.
+        id: ExceptionName,
+    },
+}
+
+/// Change that an operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeRequest {
+    /// Identifier, chosen by the client. A repeated identifier returns the first result.
+    pub change_id: ChangeName,
+    /// Operator who answers for the change.
+    pub operator: OperatorName,
+    /// Why the change is made; mandatory for a new exception.
+    pub reason: String,
+    /// Revision of the item that the operator has seen, 0 if it had none. Without one, the change
+    /// is conditional on the item as the entry had it when the request arrived.
+    pub expected_revision: Option<Revision>,
+    /// What is changed.
+    pub action: ChangeAction,
+}
+
+/// Field of a change that is not valid.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeFault {
+    /// Field of the request.
+    pub field: &'static str,
+    /// What is wrong.
+    pub fault: String,
+}
+
+impl fmt::Display for ChangeFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "field `{}`: {}", self.field, self.fault)
+    }
+}
+
+impl Error for ChangeFault {}
+
+/// Reason for which a valid change cannot be made to the current state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ChangeRefusal {
+    /// The change identifier belongs to another change.
+    ChangeIdReused {
+        /// Change that was made under the identifier.
+        current: Value,
+    },
+    /// The item has another revision than the operator expected.
+    Conflict {
+        /// Item, such as `default/retry.budget`.
+        item: String,
+        /// Current revision of the item, 0 if it is absent.
+        revision: Revision,
+        /// Current value.
+        current: Value,
+    },
+    /// There is no such exception.
+    NotFound {
+        /// Item.
+        item: String,
+    },
+    /// Another exception has the same scope and key.
+    ScopeInUse {
+        /// The other exception.
+        current: Value,
+    },
+}
+
+impl fmt::Display for ChangeRefusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ChangeIdReused { .. } => {
+                formatter.write_str("field `change_id`: the identifier belongs to another change")
+            }
+            Self::Conflict { item, revision, .. } => write!(
+                formatter,
+                "field `expected_revision`: `{item}` was changed and is now at revision {revision}"
+            ),
+            Self::NotFound { item } => write!(formatter, "field `id`: there is no `{item}`"),
+            Self::ScopeInUse { .. } => {
+                formatter.write_str("field `scope`: another exception has the same scope and key")
+            }
+        }
+    }
+}
+
+impl Error for ChangeRefusal {}
+
+impl ChangeAction {
+    /// Returns the table key of the item.
+    pub fn item_key(&self) -> String {
+        match self {
+            Self::AddException { id, .. } | Self::RemoveException { id } => exception_key(id),
+            Self::SetDefault { key, .. } => default_key(*key),
+        }
+    }
+
+    /// Returns the name of the item, such as `default/retry.budget`.
+    pub fn item(&self) -> String {
+        match self {
+            Self::AddException { id, .. } | Self::RemoveException { id } => {
+                format!("exception/{id}")
+            }
+            Self::SetDefault { key, .. } => format!("default/{key}"),
+        }
+    }
+}
+
+impl ChangeRequest {
+    /// Checks the fields that do not depend on the current state, and writes the value in its
+    /// normal form with its unit.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a value that the key does not allow, and on a missing or oversized reason.
+    pub fn validate(mut self) -> result::Result<Self, ChangeFault> {
+        let fail = |field: &'static str, fault: String| Err(ChangeFault { field, fault });
+        if self.reason.len() > MAX_REASON_BYTES {
+            return fail("reason", format!("longer than {MAX_REASON_BYTES} bytes"));
+        }
+        let is_addition = matches!(self.action, ChangeAction::AddException { .. });
+        if is_addition && self.reason.trim().is_empty() {
+            return fail("reason", "an exception needs a written reason".to_owned());
+        }
+        let (ChangeAction::SetDefault { key, value }
+        | ChangeAction::AddException { key, value, .. }) = &mut self.action
+        else {
+            return Ok(self);
+        };
+        match key.parse_value(value) {
+            Ok(parsed) => *value = key.format_value(parsed),
+            Err(error) => return fail("value", error.to_string()),
+        }
+        Ok(self)
+    }
+
+    /// Fixes the revision of the item that the change is conditional on, so that neither a race
+    /// nor a retry after a moved head overwrites a change that the operator has not seen.
+    pub fn pin_revision(&mut self, snapshot: &ConfigurationSnapshot) {
+        let current = snapshot.item_revision(&self.action);
+        self.expected_revision.get_or_insert(current);
+    }
+}
+
+impl ConfigurationSnapshot {
+    /// Returns the revision of the item that an action changes; 0 if the item is absent.
+    pub fn item_revision(&self, action: &ChangeAction) -> Revision {
+        let revision = match action {
+            ChangeAction::AddException { id, .. } | ChangeAction::RemoveException { id } => {
+                self.exception_revisions.get(id).copied()
+            }
+            ChangeAction::SetDefault { key, .. } => {
+                self.defaults.get(key).map(|item| item.revision)
+            }
+        };
+        revision.unwrap_or_default()
+    }
+
+    /// Returns the value of the item that an action changes; null if the item is absent.
+    pub fn item_value(&self, action: &ChangeAction) -> Value {
+        match action {
+            ChangeAction::AddException { id, .. } | ChangeAction::RemoveException { id } => {
+                to_value(&self.exceptions.get(id))
+            }
+            ChangeAction::SetDefault { key, .. } => {
+                to_value(&self.defaults.get(key).map(|item| &item.value))
+            }
+        }
+    }
+
+    /// Returns the conflict of an action with this snapshot.
+    pub fn conflict(&self, action: &ChangeAction) -> ChangeRefusal {
+        ChangeRefusal::Conflict {
+            item: action.item(),
+            revision: self.item_revision(action),
+            current: self.item_value(action),
+        }
+    }
+}
+
+pub(super) fn to_value<T: Serialize>(value: &T) -> Value {
+    serde_json::to_value(value).unwrap_or_default()
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -1,19 +1,23 @@
 //! Entry: accepts callers, admits and routes their requests.
 
 pub mod callers;
+pub mod configuration;
 pub mod configuration_exchange;
 pub mod context;
 pub mod dispatcher;
 pub mod fleet;
 pub mod listeners;
 pub mod metrics;
+pub mod operators;
 pub mod peers;
 pub mod targets;
 pub mod tombstones;
 
 use {
     self::{
+        configuration::{ConfigurationActor, ConfigurationParts},
         context::{ContextParts, EntryContext, EntryIdentity},
+        fleet::EntryFleet,
         listeners::EntryListeners,
         metrics::EntryMetrics,
     },
@@ -25,9 +29,13 @@
         telemetry::{self, HealthState, MetricsRegistry},
     },
     error_stack::{Report, ResultExt},
+    kameo::actor::ActorRef,
     sassafrasslip_core::configuration::ConfigurationView,
     std::{sync::Arc, time::Duration},
-    tokio::sync::{mpsc, watch},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, watch},
+    },
 };
 
 /// Snapshots from peers that wait for the configuration actor.
@@ -50,7 +58,8 @@
     let started = telemetry::metrics::serve(address, registry.clone(), health).await;
     started.change_context(DaemonError::Listen)?;
     let platform = Arc::new(HttpPlatform::new(options.platform.clone()));
-    let (view, snapshots) = start_configuration();
+    let (view_sender, view) = watch::channel(Arc::new(ConfigurationView::default()));
+    let (snapshots, peer_snapshots) = mpsc::channel(SNAPSHOT_QUEUE_LENGTH);
     let context = EntryContext::new(ContextParts {
         identity: EntryIdentity {
             instance: options.instance.name.clone(),
@@ -65,24 +74,38 @@
         draining: daemon.draining(),
         work: daemon.work(),
     });
-    start(&context, listeners, platform, options.stop.notice);
+    let fleet = Arc::new(EntryFleet::new(Arc::clone(&context)));
+    let configuration = ConfigurationActor::start(ConfigurationParts {
+        instance: context.identity.instance.clone(),
+        incarnation: context.identity.incarnation,
+        table: Arc::clone(&platform) as _,
+        fleet: Arc::clone(&fleet) as _,
+        view_sender,
+        peer_snapshots,
+    });
+    let EntryListeners {
+        callers,
+        operators,
+        links,
+    } = listeners;
+    start(&context, callers, links, platform, options.stop.notice);
+    let draining = context.draining.clone();
+    let operating = operators::serve(operators, configuration.clone(), fleet, draining);
+    context.work.spawn(operating);
     let daemon = daemon.serve().wait_for_stop().await;
     daemon.change_context(DaemonError::Serve)?.finish().await;
+    stop_configuration(&configuration).await;
     Ok(())
 }
 
 /// Starts the tasks of an entry.
 pub fn start(
     context: &Arc<EntryContext>,
-    listeners: EntryListeners,
+    callers: TcpListener,
+    links: TcpListener,
     list: Arc<dyn InstanceList>,
     notice: Duration,
 ) {
-    let EntryListeners {
-        callers,
-        operators: _,
-        links,
-    } = listeners;
     tokio::spawn(peers::accept_peers(Arc::clone(context), links));
     tokio::spawn(peers::correct_limits(Arc::clone(context)));
     tokio::spawn(targets::follow_instances(Arc::clone(context), list));
@@ -90,32 +113,9 @@
     context.work.spawn(serving);
 }
 
-/// Provides the initial configuration: the catalogue's defaults under a live lease.
-fn start_configuration() -> (
-    fleet::ViewReceiver,
-    mpsc::Sender<sassafrasslip_core::configuration::ConfigurationSnapshot>,
-) {
-    let view = ConfigurationView {
-        lease_live: true,
-        ..ConfigurationView::default()
-    };
-    let (sender, receiver) = watch::channel(Arc::new(view));
-    let (snapshots, mut received) = mpsc::channel(SNAPSHOT_QUEUE_LENGTH);
-    // Applies the snapshots of peers; there is no other source of revisions here.
-    tokio::spawn(async move {
-        while let Some(snapshot) = received.recv().await {
-            let view = ConfigurationView {
-                snapshot: Arc::new(snapshot),
-                lease_live: true,
-            };
-            sender.send_if_modified(|current| {
-                let is_newer = view.revision() > current.revision();
-                if is_newer {
-                    *current = Arc::new(view);
-                }
-                is_newer
-            });
-        }
-    });
-    (receiver, snapshots)
+/// Stops the configuration actor, which gives up the lease.
+async fn stop_configuration(configuration: &ActorRef<ConfigurationActor>) {
+    if configuration.stop_gracefully().await.is_ok() {
+        configuration.wait_for_shutdown().await;
+    }
 }
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -213,7 +213,15 @@
             work: TaskTracker::new(),
         });
         let notice = Duration::from_millis(50);
-        entry::start(&context, listeners, Arc::clone(&list) as _, notice);
+        let (caller_listener, link_listener) = (listeners.callers, listeners.links);
+        let list_service = Arc::clone(&list) as _;
+        entry::start(
+            &context,
+            caller_listener,
+            link_listener,
+            list_service,
+            notice,
+        );
         Self {
             context,
             callers,
