Add the expert map change protocol

The coordinator commits only after every participant has armed, recovers by query and stops with its lease.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod events;
 pub mod explanation;
 pub mod ids;
+pub mod map_change;
+pub mod placement;
--- /dev/null
+++ b/crates/core/src/map_change/coordinator.rs
@@ -0,0 +1,306 @@
+//! Coordinator: drives one change at a time while the placement lease is held.
+
+pub mod labels;
+
+pub use labels::{CoordinatorEffect, CoordinatorEvent, CoordinatorState};
+
+use {
+    super::{
+        ChangeId, FencingToken, GatePolicy, GroupStep, MapOrder, MapReply, OrderStep,
+        ParticipantState, StepClock,
+    },
+    crate::chart::{self, StateChart},
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+const CHART: &str = include_str!("../../charts/map_coordinator.ini");
+
+/// Changes that one holder can start; the token stands above these bits of a change's identifier.
+const COUNTER_BITS: u32 = 20;
+
+type CoordinatorChart = StateChart<CoordinatorState, CoordinatorEvent, CoordinatorEffect>;
+
+/// What the caller has to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CoordinatorAction {
+    /// Send an order to a participant.
+    Send {
+        /// Index of the participant.
+        participant: usize,
+        /// Order.
+        order: MapOrder,
+    },
+    /// The change is committed everywhere.
+    Committed(ChangeId),
+    /// The change is aborted everywhere.
+    Aborted(ChangeId),
+    /// The coordinator has stopped.
+    SteppedDown,
+}
+
+/// Times of a coordinator.
+#[derive(Clone, Copy, Debug)]
+pub struct CoordinatorTimes {
+    /// Pause before an order without a reply is sent again.
+    pub retry: Duration,
+    /// Longest time for all participants to arm.
+    pub arm_limit: Duration,
+    /// How far ahead the gate is set.
+    pub gate: GatePolicy,
+}
+
+impl Default for CoordinatorTimes {
+    fn default() -> Self {
+        Self {
+            retry: Duration::from_millis(300),
+            arm_limit: Duration::from_secs(2),
+            gate: GatePolicy::default(),
+        }
+    }
+}
+
+/// Coordinator of map changes under one fencing token.
+#[derive(Clone, Debug)]
+pub struct MapCoordinator {
+    chart: CoordinatorChart,
+    state: CoordinatorState,
+    times: CoordinatorTimes,
+    fencing_token: FencingToken,
+    lease_end: Instant,
+    started: u64,
+    change: ChangeId,
+    gate: GroupStep,
+    clock: StepClock,
+    /// Accepted replies to the current order.
+    replies: Vec<Option<MapReply>>,
+    deadline: Option<Instant>,
+    prepare_limit: Duration,
+    retry_at: Instant,
+}
+
+impl MapCoordinator {
+    /// Creates a coordinator; [`Self::tick`] sends its first queries.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the chart does not match the program.
+    pub fn new(
+        fencing_token: FencingToken,
+        participants: usize,
+        lease_end: Instant,
+        times: CoordinatorTimes,
+        now: Instant,
+    ) -> chart::Result<Self> {
+        let chart = CoordinatorChart::parse(CHART)?;
+        Ok(Self {
+            state: chart.initial(),
+            chart,
+            times,
+            fencing_token,
+            lease_end,
+            started: 0,
+            change: 0,
+            gate: 0,
+            clock: StepClock::default(),
+            replies: vec![None; participants],
+            deadline: None,
+            prepare_limit: Duration::ZERO,
+            retry_at: now,
+        })
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> CoordinatorState {
+        self.state
+    }
+
+    /// Returns the fencing token.
+    pub fn fencing_token(&self) -> FencingToken {
+        self.fencing_token
+    }
+
+    /// Returns the current or last change.
+    pub fn change(&self) -> ChangeId {
+        self.change
+    }
+
+    /// Returns the gate step of the current or last change.
+    pub fn gate(&self) -> GroupStep {
+        self.gate
+    }
+
+    /// Returns the identifier that the next change will have.
+    pub fn next_change(&self) -> ChangeId {
+        (self.fencing_token << COUNTER_BITS) + self.started + 1
+    }
+
+    /// Extends the lease.
+    pub fn renew(&mut self, lease_end: Instant) {
+        self.lease_end = self.lease_end.max(lease_end);
+    }
+
+    /// Sets the mean duration of a step, by which the gate is chosen.
+    pub fn set_step_time(&mut self, step_time: Duration) {
+        self.clock.set_step_time(step_time);
+    }
+
+    /// Starts a change if none is open. `prepare_limit` bounds the loading of experts.
+    pub fn propose(&mut self, prepare_limit: Duration, now: Instant) -> Vec<CoordinatorAction> {
+        if self.state != CoordinatorState::Ready || now >= self.lease_end {
+            return Vec::new();
+        }
+        self.change = self.next_change();
+        self.started += 1;
+        self.prepare_limit = prepare_limit;
+        self.raise(CoordinatorEvent::Propose, now)
+    }
+
+    /// Passes time.
+    pub fn tick(&mut self, now: Instant) -> Vec<CoordinatorAction> {
+        if now >= self.lease_end {
+            return self.raise(CoordinatorEvent::LeaseEnded, now);
+        }
+        if self.deadline.is_some_and(|deadline| now >= deadline) {
+            return self.raise(CoordinatorEvent::Deadline, now);
+        }
+        if now >= self.retry_at {
+            return self.raise(CoordinatorEvent::Retry, now);
+        }
+        Vec::new()
+    }
+
+    /// Takes a reply. Replies to earlier orders and repeated replies have no effect.
+    pub fn receive(
+        &mut self,
+        participant: usize,
+        reply: &MapReply,
+        now: Instant,
+    ) -> Vec<CoordinatorAction> {
+        if now >= self.lease_end || reply.fencing_token > self.fencing_token {
+            return self.raise(CoordinatorEvent::LeaseEnded, now);
+        }
+        self.clock.observe(reply.current_step, now);
+        if !self.is_current(reply) || participant >= self.replies.len() {
+            return Vec::new();
+        }
+        if !reply.accepted {
+            return self.raise(CoordinatorEvent::Refused, now);
+        }
+        if !self.is_complete(reply) {
+            return Vec::new();
+        }
+        self.replies[participant] = Some(*reply);
+        if self.replies.iter().any(Option::is_none) {
+            return Vec::new();
+        }
+        let event = self.phase_end();
+        self.raise(event, now)
+    }
+
+    /// Returns the order of the current phase.
+    fn order_step(&self) -> Option<OrderStep> {
+        match self.state {
+            CoordinatorState::Aborting => Some(OrderStep::Abort),
+            CoordinatorState::Arming => Some(OrderStep::Arm(self.gate)),
+            CoordinatorState::Committing => Some(OrderStep::Commit),
+            CoordinatorState::Preparing => Some(OrderStep::Prepare),
+            CoordinatorState::Querying => Some(OrderStep::Query),
+            CoordinatorState::Ready | CoordinatorState::Stopped => None,
+        }
+    }
+
+    fn is_current(&self, reply: &MapReply) -> bool {
+        let step = self.order_step();
+        let same_step = step.is_some_and(|step| step.same_kind(reply.step));
+        let same_change = reply.step == OrderStep::Query || reply.change == self.change;
+        same_step && same_change && reply.fencing_token == self.fencing_token
+    }
+
+    /// Returns whether the reply ends the participant's part of the phase. An engine may accept
+    /// `Prepare` before its experts are loaded; the next retry asks again.
+    fn is_complete(&self, reply: &MapReply) -> bool {
+        reply.step != OrderStep::Prepare || reply.state == ParticipantState::Prepared
+    }
+
+    fn phase_end(&mut self) -> CoordinatorEvent {
+        if self.state != CoordinatorState::Querying {
+            return CoordinatorEvent::AllAccepted;
+        }
+        let replies: Vec<MapReply> = self.replies.iter().flatten().copied().collect();
+        let open = replies
+            .iter()
+            .filter(|reply| reply.state != ParticipantState::Stepping);
+        let Some(change) = open.map(|reply| reply.change).max() else {
+            return CoordinatorEvent::NoneOpen;
+        };
+        self.change = change;
+        // The change is 0 if agents restarted and their engines do not tell it.
+        let committed = |reply: &MapReply| {
+            let decided = reply.state == ParticipantState::Committed;
+            let same = reply.change == change || reply.change == 0;
+            (decided && same) || (change != 0 && reply.map_version == change)
+        };
+        if replies.iter().any(committed) {
+            CoordinatorEvent::SomeCommitted
+        } else {
+            CoordinatorEvent::NoneCommitted
+        }
+    }
+
+    fn raise(&mut self, event: CoordinatorEvent, now: Instant) -> Vec<CoordinatorAction> {
+        let Some(transition) = self.chart.step(self.state, event) else {
+            return Vec::new();
+        };
+        if self.state != transition.next {
+            self.enter(transition.next, now);
+        }
+        transition
+            .action
+            .map_or_else(Vec::new, |effect| self.perform(effect, now))
+    }
+
+    fn enter(&mut self, state: CoordinatorState, now: Instant) {
+        self.state = state;
+        self.replies.fill(None);
+        self.deadline = match state {
+            CoordinatorState::Arming => Some(now + self.times.arm_limit),
+            CoordinatorState::Preparing => Some(now + self.prepare_limit),
+            _ => None,
+        };
+        if state == CoordinatorState::Arming {
+            self.gate = self.clock.choose_gate(&self.times.gate, now);
+        }
+    }
+
+    fn perform(&mut self, effect: CoordinatorEffect, now: Instant) -> Vec<CoordinatorAction> {
+        match effect {
+            CoordinatorEffect::ReportAborted => vec![CoordinatorAction::Aborted(self.change)],
+            CoordinatorEffect::ReportCommitted => vec![CoordinatorAction::Committed(self.change)],
+            CoordinatorEffect::StepDown => vec![CoordinatorAction::SteppedDown],
+            CoordinatorEffect::SendAbort
+            | CoordinatorEffect::SendArm
+            | CoordinatorEffect::SendCommit
+            | CoordinatorEffect::SendPrepare
+            | CoordinatorEffect::SendQuery => self.send(now),
+        }
+    }
+
+    /// Sends the order of the phase to every participant whose reply is missing.
+    fn send(&mut self, now: Instant) -> Vec<CoordinatorAction> {
+        self.retry_at = now + self.times.retry;
+        let Some(step) = self.order_step() else {
+            return Vec::new();
+        };
+        let query = step == OrderStep::Query;
+        let order = MapOrder {
+            fencing_token: self.fencing_token,
+            change: if query { 0 } else { self.change },
+            step,
+        };
+        let missing = (0..self.replies.len()).filter(|index| self.replies[*index].is_none());
+        missing
+            .map(|participant| CoordinatorAction::Send { participant, order })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,1 @@
+//! Placement.
