--- a/crates/core/src/map_change/coordinator.rs
+++ b/crates/core/src/map_change/coordinator.rs
@@ -19,6 +19,9 @@
 /// Changes that one holder can start; the token stands above these bits of a change's identifier.
 const COUNTER_BITS: u32 = 20;
 
+/// A `Prepare` carries a map and takes seconds, so it is repeated less often.
+const PREPARE_RETRY_FACTOR: u32 = 10;
+
 type CoordinatorChart = StateChart<CoordinatorState, CoordinatorEvent, CoordinatorEffect>;
 
 /// What the caller has to do.
@@ -288,10 +291,15 @@
 
     /// Sends the order of the phase to every participant whose reply is missing.
     fn send(&mut self, now: Instant) -> Vec<CoordinatorAction> {
-        self.retry_at = now + self.times.retry;
         let Some(step) = self.order_step() else {
             return Vec::new();
         };
+        let factor = if step == OrderStep::Prepare {
+            PREPARE_RETRY_FACTOR
+        } else {
+            1
+        };
+        self.retry_at = now + self.times.retry * factor;
         let query = step == OrderStep::Query;
         let order = MapOrder {
             fencing_token: self.fencing_token,
--- a/crates/core/src/map_change/participant.rs
+++ b/crates/core/src/map_change/participant.rs
@@ -184,15 +184,22 @@
         self.end(self.ended.max(self.map_version));
     }
 
-    /// Adopts what the engine reports; the engine's memory decides.
+    /// Adopts what the engine reports; the engine's memory decides. A committed change whose map
+    /// is in use has ended.
     pub fn observe(&mut self, view: &EngineView) {
-        if view.state == ParticipantState::Stepping && self.state != view.state {
-            self.end(self.ended);
-        }
-        self.state = view.state;
+        let switched = view.change == Some(view.map_version);
+        let ended = view.state == ParticipantState::Committed && switched;
+        self.state = if ended {
+            ParticipantState::Stepping
+        } else {
+            view.state
+        };
         self.map_version = view.map_version;
-        self.ended = self.ended.max(view.map_version);
-        if view.state != ParticipantState::Stepping {
+        let highest = self.ended.max(view.map_version);
+        if self.state == ParticipantState::Stepping {
+            self.end(highest);
+        } else {
+            self.ended = highest;
             self.change = view.change.or(self.change);
         }
     }
--- /dev/null
+++ b/crates/core/src/placement/counts.rs
@@ -0,0 +1,107 @@
+//! Tokens that the experts processed.
+
+use std::time::Duration;
+
+/// Tokens of each expert of each layer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ExpertCounts {
+    experts: usize,
+    tokens: Vec<f64>,
+}
+
+impl ExpertCounts {
+    /// Creates counts of zero.
+    pub fn new(layers: usize, experts: usize) -> Self {
+        let tokens = vec![0.0; layers * experts];
+        Self { experts, tokens }
+    }
+
+    /// Returns the number of layers.
+    pub fn layers(&self) -> usize {
+        self.tokens.len() / self.experts.max(1)
+    }
+
+    /// Returns the number of experts in a layer.
+    pub fn experts(&self) -> usize {
+        self.experts
+    }
+
+    /// Returns the tokens of each expert of a layer.
+    pub fn layer(&self, layer: usize) -> &[f64] {
+        &self.tokens[layer * self.experts..(layer + 1) * self.experts]
+    }
+
+    /// Returns the tokens of each expert of a layer, to be changed.
+    pub fn layer_mut(&mut self, layer: usize) -> &mut [f64] {
+        &mut self.tokens[layer * self.experts..(layer + 1) * self.experts]
+    }
+
+    /// Adds `factor` times other counts.
+    pub fn add(&mut self, other: &Self, factor: f64) {
+        for (tokens, more) in self.tokens.iter_mut().zip(&other.tokens) {
+            *tokens += more * factor;
+        }
+    }
+
+    /// Multiplies all counts.
+    pub fn scale(&mut self, factor: f64) {
+        self.tokens.iter_mut().for_each(|tokens| *tokens *= factor);
+    }
+
+    /// Returns the tokens of all experts.
+    pub fn total(&self) -> f64 {
+        self.tokens.iter().sum()
+    }
+
+    /// Returns all counts, layer by layer.
+    pub fn tokens(&self) -> &[f64] {
+        &self.tokens
+    }
+
+    /// Returns all counts, layer by layer, to be changed.
+    pub fn tokens_mut(&mut self) -> &mut [f64] {
+        &mut self.tokens
+    }
+}
+
+/// Exponentially weighted average of counts, in tokens a second.
+#[derive(Clone, Debug)]
+pub struct CountsAverage {
+    half_life: Duration,
+    rates: ExpertCounts,
+    /// Weight that the average has gathered; 1 in the long run.
+    weight: f64,
+}
+
+impl CountsAverage {
+    /// Creates an empty average.
+    pub fn new(layers: usize, experts: usize, half_life: Duration) -> Self {
+        Self {
+            half_life,
+            rates: ExpertCounts::new(layers, experts),
+            weight: 0.0,
+        }
+    }
+
+    /// Adds the counts of an interval.
+    pub fn observe(&mut self, counts: &ExpertCounts, interval: Duration) {
+        let seconds = interval.as_secs_f64();
+        if seconds <= 0.0 {
+            return;
+        }
+        let kept = 0.5_f64.powf(seconds / self.half_life.as_secs_f64().max(0.001));
+        self.rates.scale(kept);
+        self.rates.add(counts, (1.0 - kept) / seconds);
+        self.weight = self.weight * kept + 1.0 - kept;
+    }
+
+    /// Returns the average rates; `None` before the first counts.
+    pub fn rates(&self) -> Option<ExpertCounts> {
+        if self.weight <= 0.0 {
+            return None;
+        }
+        let mut rates = self.rates.clone();
+        rates.scale(1.0 / self.weight);
+        Some(rates)
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/rank_health.rs
@@ -0,0 +1,122 @@
+//! Tells a slow rank from a rank that holds a hot expert.
+
+use {std::time::Duration, tokio::time::Instant};
+
+/// Step time, relative to what the load explains, from which a rank is slow.
+const SLOW: f64 = 1.15;
+/// Step time, relative to what the load explains, below which a rank has recovered.
+const RECOVERED: f64 = 1.07;
+/// Reports in a row before a rank counts as slow or as recovered; one long step is no fault.
+const REPORTS: u32 = 3;
+/// Weights are rounded to this step, so that noise does not change the map.
+const WEIGHT_STEP: f64 = 0.05;
+/// Lowest weight of a live rank.
+const LEAST_WEIGHT: f64 = 0.1;
+/// Time after which a slow rank gets its full weight again on trial. Its load is low by then, and
+/// a step time that hardly depends on the load would never show the recovery.
+const RETRIAL: Duration = Duration::from_secs(30 * 60);
+
+/// What a rank did in the last interval.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RankReport {
+    /// Tokens that the rank processed.
+    pub load: f64,
+    /// Mean duration of its work in a step, without waiting for others, in microseconds.
+    pub step_us: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RankState {
+    weight: f64,
+    late_reports: u32,
+    good_reports: u32,
+    slow_since: Option<Instant>,
+}
+
+/// Weights of the ranks of a group.
+#[derive(Clone, Debug)]
+pub struct RankHealth {
+    ranks: Vec<RankState>,
+}
+
+impl RankHealth {
+    /// Creates the state of a group whose ranks are all healthy.
+    pub fn new(ranks: usize) -> Self {
+        Self {
+            ranks: vec![RankState::HEALTHY; ranks],
+        }
+    }
+
+    /// Takes one report of every rank, in their order, and returns the ranks that became slow or
+    /// slower.
+    pub fn observe(&mut self, reports: &[RankReport], now: Instant) -> Vec<usize> {
+        let median_time = median(reports.iter().map(|report| report.step_us));
+        let median_load = median(reports.iter().map(|report| report.load));
+        if median_time <= 0.0 || median_load <= 0.0 {
+            return Vec::new();
+        }
+        let ranks = self.ranks.iter_mut().zip(reports).enumerate();
+        let slower = |(rank, (state, report)): (usize, (&mut RankState, &RankReport))| {
+            let time = report.step_us / median_time;
+            let load = report.load / median_load;
+            state.observe(time, load, now).then_some(rank)
+        };
+        ranks.filter_map(slower).collect()
+    }
+
+    /// Returns the weights: 1 for a healthy rank, less for a slow one.
+    pub fn weights(&self) -> Vec<f64> {
+        self.ranks.iter().map(|state| state.weight).collect()
+    }
+
+    /// Returns the slow ranks.
+    pub fn slow_ranks(&self) -> Vec<usize> {
+        let ranks = self.ranks.iter().enumerate();
+        let slow = ranks.filter(|(_, state)| state.slow_since.is_some());
+        slow.map(|(rank, _)| rank).collect()
+    }
+}
+
+impl RankState {
+    const HEALTHY: Self = Self {
+        weight: 1.0,
+        late_reports: 0,
+        good_reports: 0,
+        slow_since: None,
+    };
+
+    /// Takes a step time and a load relative to the medians; returns whether the rank became
+    /// slower. The share of the step time that depends on the load is unknown: for a rank that
+    /// looks late the larger share is assumed, for one that looks recovered the smaller.
+    fn observe(&mut self, time: f64, load: f64, now: Instant) -> bool {
+        let lateness = time / load.max(1.0);
+        let late = lateness > SLOW;
+        self.late_reports = if late { self.late_reports + 1 } else { 0 };
+        let good = self.slow_since.is_some() && time < RECOVERED * load;
+        self.good_reports = if good { self.good_reports + 1 } else { 0 };
+        let trial = self
+            .slow_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= RETRIAL);
+        if self.good_reports >= REPORTS || trial {
+            *self = Self::HEALTHY;
+        }
+        if self.late_reports < REPORTS {
+            return false;
+        }
+        self.late_reports = 0;
+        self.slow_since.get_or_insert(now);
+        self.weight = round_weight(self.weight / lateness);
+        true
+    }
+}
+
+fn round_weight(weight: f64) -> f64 {
+    let rounded = (weight / WEIGHT_STEP).round() * WEIGHT_STEP;
+    rounded.clamp(LEAST_WEIGHT, 1.0)
+}
+
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or_default()
+}
