--- a/crates/core/src/placement/greedy.rs
+++ b/crates/core/src/placement/greedy.rs
@@ -150,7 +150,7 @@
         tolerance: f64,
         current: Option<&LayerPlan<'_>>,
     ) -> Option<usize> {
-        let after = |rank: usize| (self.loads[rank] + share) / plan.weight(rank);
+        let after = |rank: usize| (self.loads[rank] + share) * plan.factor(rank);
         let has_expert = |rank: usize| {
             let last = self.replicas.iter().rev();
             let mut same = last.take_while(|(other, _)| *other == expert);
@@ -158,11 +158,12 @@
         };
         let mut best: Option<(usize, f64)> = None;
         for rank in 0..self.room.len() {
-            if self.room[rank] == 0 || best.is_some_and(|(_, load)| after(rank) >= load) {
+            let load = after(rank);
+            if best.is_some_and(|(_, best)| load >= best) || self.room[rank] == 0 {
                 continue;
             }
             if !has_expert(rank) {
-                best = Some((rank, after(rank)));
+                best = Some((rank, load));
             }
         }
         let (best, load) = best?;
--- a/crates/core/src/placement/improve.rs
+++ b/crates/core/src/placement/improve.rs
@@ -4,7 +4,7 @@
 
 /// Coldest ranks that are tried as receivers. More of them find hardly better moves and cost time
 /// in proportion.
-const RECEIVERS: usize = 8;
+const RECEIVERS: usize = 4;
 /// Least gain of a move, as a share of the mean rank load; smaller ones are noise of the counts.
 const LEAST_GAIN: f64 = 0.002;
 
--- a/crates/core/src/placement/layer_plan.rs
+++ b/crates/core/src/placement/layer_plan.rs
@@ -63,9 +63,9 @@
         self.slots
     }
 
-    /// Returns the weight of a rank.
-    pub fn weight(&self, rank: usize) -> f64 {
-        self.weights[rank]
+    /// Returns the reciprocal weight of a rank; 0 if it is lost.
+    pub fn factor(&self, rank: usize) -> f64 {
+        self.factors[rank]
     }
 
     /// Returns the tokens of an expert.
