Add the agent's side of map changes and the placer

Cause: the agents have to guard engines that ignore fencing tokens, and one agent of a group has to compute maps and coordinate their change.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -1,5 +1,8 @@
 //! Agent: guards one target.
 
+pub mod orders;
+pub mod placer;
+
 use crate::{Result, options::DaemonOptions};
 
 /// Runs an agent until it is stopped.
--- /dev/null
+++ b/crates/daemon/src/agent/placer/map_store.rs
@@ -0,0 +1,85 @@
+//! Expert maps in the object store. The ranks report only the version of the map in use; the next
+//! placer reads the map here.
+
+use {
+    super::PlacerParts,
+    crate::platform::Result,
+    bytes::Bytes,
+    sassafrasslip_core::placement::{ExpertMap, RankNumber},
+    serde::{Deserialize, Serialize},
+};
+
+/// Highest version of the map with which an engine starts: experts dealt out in turn. Versions of
+/// changes contain a fencing token and are far above it.
+const INITIAL_VERSION: u64 = 1;
+
+#[derive(Debug, Deserialize, Serialize)]
+struct StoredMap {
+    version: u64,
+    layers: Vec<Vec<Vec<RankNumber>>>,
+}
+
+/// Number of layers, experts of a layer and ranks of a group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MapSize {
+    /// Layers.
+    pub layers: usize,
+    /// Experts of a layer.
+    pub experts: usize,
+    /// Ranks.
+    pub ranks: usize,
+}
+
+impl MapSize {
+    fn fits(self, map: &ExpertMap) -> bool {
+        let ranks = map.highest_rank().map_or(0, |rank| usize::from(rank) + 1);
+        map.layers() == self.layers && map.experts() == self.experts && ranks <= self.ranks
+    }
+}
+
+fn map_key(parts: &PlacerParts, version: u64) -> String {
+    format!("placement/map/{}/{version}", parts.group)
+}
+
+/// Stores a map under its version.
+///
+/// # Errors
+///
+/// Fails if the object store does; the map may be stored nevertheless.
+pub async fn put_map(parts: &PlacerParts, map: &ExpertMap) -> Result<()> {
+    let stored = StoredMap {
+        version: map.version(),
+        layers: (0..map.layers()).map(|layer| map.layer(layer)).collect(),
+    };
+    let value = serde_json::to_vec(&stored).unwrap_or_default();
+    let key = map_key(parts, map.version());
+    parts.objects.put(&key, Bytes::from(value)).await
+}
+
+/// Returns the map of a version; `None` if it is not stored or does not fit the group.
+///
+/// # Errors
+///
+/// Fails if the object store does.
+pub async fn get_map(
+    parts: &PlacerParts,
+    version: u64,
+    size: MapSize,
+) -> Result<Option<ExpertMap>> {
+    let MapSize {
+        layers,
+        experts,
+        ranks,
+    } = size;
+    if version <= INITIAL_VERSION {
+        return Ok(Some(ExpertMap::dealt_in_turn(
+            version, layers, experts, ranks,
+        )));
+    }
+    let Some(value) = parts.objects.get(&map_key(parts, version)).await? else {
+        return Ok(None);
+    };
+    let stored: Option<StoredMap> = serde_json::from_slice(&value).ok();
+    let map = stored.and_then(|stored| ExpertMap::from_layers(stored.version, &stored.layers).ok());
+    Ok(map.filter(|map| size.fits(map)))
+}
