--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod explanation;
 pub mod ids;
 pub mod limits;
+pub mod map_change;
 pub mod membership;
+pub mod placement;
 pub mod retry;
 pub mod routing;
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -10,6 +10,9 @@
 pub mod membership;
 pub mod metrics;
 pub mod order_handler;
+pub mod orders;
+pub mod placement;
+pub mod placer;
 pub mod reports;
 pub mod server;
 
@@ -32,6 +35,7 @@
     error_stack::{Report, ResultExt},
     metrics::AgentMetrics,
     order_handler::{NoOrders, OrderHandler},
+    placement::GroupPlacement,
     sassafrasslip_core::configuration::ConfigurationSnapshot,
     sassafrasslip_proto::{
         PROTOCOL_VERSION,
@@ -193,15 +197,6 @@
 ///
 /// Fails if an address cannot be bound.
 pub async fn serve(options: DaemonOptions) -> Result<()> {
-    serve_with(options, Arc::new(NoOrders)).await
-}
-
-/// Runs an agent with a handler of orders on expert maps until it is stopped.
-///
-/// # Errors
-///
-/// Fails if an address cannot be bound.
-pub async fn serve_with(options: DaemonOptions, orders: Arc<dyn OrderHandler>) -> Result<()> {
     let Some(agent_options) = options.agent else {
         return Err(Report::new(DaemonError::ReadSettings));
     };
@@ -213,6 +208,11 @@
         .await
         .change_context(DaemonError::Listen)?;
     let platform = Arc::new(HttpPlatform::new(options.platform));
+    let placement = GroupPlacement::new(&agent_options, platform.clone());
+    let orders: Arc<dyn OrderHandler> = match &placement {
+        Some(placement) => placement.handler(),
+        None => Arc::new(NoOrders),
+    };
     let agent = AgentContext::new(AgentParts {
         options: agent_options,
         instance: options.instance,
@@ -222,7 +222,10 @@
         registry,
         work: daemon.work(),
     });
-    agent.start(listener, platform).await;
+    agent.start(listener, platform.clone()).await;
+    if let Some(placement) = placement {
+        placement.start(&agent, platform, daemon.draining());
+    }
     let draining = daemon.serve().wait_for_stop().await;
     let draining = draining.change_context(DaemonError::Serve)?;
     // Set before the wait for work begins, so that no dispatch is admitted after its end.
