Serve waiting teams by start-time fair queueing

Cause: in a trial at three times the capacity of one fake target, the queue chose the team with the fewest admitted requests, the waiting ones included, so that of two entries' small teams only 103 of 240 requests were answered beside one large team, and many requests were refused only after 2 s. Change: each team has a virtual time that advances when one of its requests starts; the wait is estimated from the team's own place and the measured pace of starts, with a margin. With equal teams at two entries 5 in 100 or more refusals still came after 2 s: an entry without a place at a full target hears of free places only by the agent's reports.

--- a/crates/core/src/limits/queue.rs
+++ b/crates/core/src/limits/queue.rs
@@ -22,8 +22,19 @@
 /// Result of queueing a request.
 pub type Result<T> = result::Result<T, QueueRefusal>;
 
-/// Weight of the newest duration in the mean duration of requests.
-const DURATION_WEIGHT: f64 = 0.1;
+/// Weight of the newest duration in a running mean.
+const NEWEST_WEIGHT: f64 = 0.1;
+
+/// Factor on the estimated wait. Without it, half of the requests at the edge would be refused
+/// only after they have waited in vain.
+const WAIT_MARGIN: f64 = 1.5;
+
+/// Most turns that one request can cost its team.
+const MOST_TURNS: f64 = 16.0;
+
+/// Teams whose turns are remembered for one service before those that no longer matter are
+/// forgotten.
+const REMEMBERED_TURNS: usize = 8192;
 
 /// Limits of the queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -84,11 +95,59 @@
 /// Waiting requests of one team for one service, most urgent and oldest first.
 type TeamQueue = BTreeMap<(u8, u64), TicketKey>;
 
+/// Start-time fair queueing: each team has a virtual time that advances when it is served, and the
+/// team with the lowest one is next. A team that starts to wait begins at the time of the service.
 #[derive(Debug, Default)]
 struct ServiceQueue {
     teams: HashMap<TeamName, TeamQueue>,
     length: usize,
+    /// Virtual time of the request that was served last.
+    virtual_time: f64,
+    /// Virtual times of teams.
+    team_times: HashMap<TeamName, f64>,
     mean_duration: Option<f64>,
+    /// Mean time between two starts while requests wait, in seconds.
+    mean_interval: Option<f64>,
+    /// Last start, if requests have waited ever since.
+    last_start: Option<Instant>,
+}
+
+impl ServiceQueue {
+    fn team_time(&self, team: &TeamName) -> f64 {
+        let time = self.team_times.get(team).copied().unwrap_or_default();
+        time.max(self.virtual_time)
+    }
+
+    fn serve(&mut self, team: &TeamName, turns: f64) {
+        let time = self.team_time(team);
+        self.virtual_time = time;
+        if self.team_times.len() >= REMEMBERED_TURNS {
+            self.team_times.retain(|_, known| *known > time);
+        }
+        self.team_times.insert(team.clone(), time + turns);
+    }
+
+    fn record_start(&mut self, now: Instant) {
+        if let Some(last) = self.last_start {
+            let seconds = now.saturating_duration_since(last).as_secs_f64();
+            self.mean_interval = Some(running_mean(self.mean_interval, seconds));
+        }
+        self.last_start = (self.length > 0).then_some(now);
+    }
+
+    /// Returns the requests that are served before a new one of `team`: of each other team at
+    /// most as many as that team has waiting itself.
+    fn position(&self, team: &TeamName) -> usize {
+        let own = self.teams.get(team).map_or(0, TeamQueue::len);
+        let others = self.teams.iter().filter(|(other, _)| *other != team);
+        let others = others.map(|(_, waiting)| waiting.len().min(own + 1));
+        own + others.sum::<usize>()
+    }
+}
+
+fn running_mean(mean: Option<f64>, newest: f64) -> f64 {
+    let mean = mean.unwrap_or(newest);
+    mean + (newest - mean) * NEWEST_WEIGHT
 }
 
 /// Requests that wait, by service and team.
@@ -127,18 +186,21 @@
     pub fn record_duration(&mut self, service: &ServiceName, duration: Duration) {
         let seconds = duration.as_secs_f64();
         let queue = self.services.entry(service.clone()).or_default();
-        let mean = queue.mean_duration.unwrap_or(seconds);
-        queue.mean_duration = Some(mean + (seconds - mean) * DURATION_WEIGHT);
+        queue.mean_duration = Some(running_mean(queue.mean_duration, seconds));
     }
 
     /// Estimates the wait of a request that joins now, while `slots` requests of this entry run.
-    pub fn expected_wait(&self, service: &ServiceName, slots: u32) -> Duration {
+    /// While others wait, the pace at which they start is known; it includes what other entries
+    /// take of the same targets. Before that, the duration of requests has to do.
+    pub fn expected_wait(&self, service: &ServiceName, team: &TeamName, slots: u32) -> Duration {
         let Some(queue) = self.services.get(service) else {
             return Duration::ZERO;
         };
-        let position = queue.length as f64 + 1.0;
-        let mean = queue.mean_duration.unwrap_or_default();
-        Duration::from_secs_f64(position * mean / f64::from(slots.max(1)))
+        let mean_duration = queue.mean_duration.unwrap_or_default();
+        let pace = queue.mean_interval.filter(|_| queue.last_start.is_some());
+        let pace = pace.unwrap_or(mean_duration / f64::from(slots.max(1)));
+        let position = queue.position(team) as f64 + 1.0;
+        Duration::from_secs_f64(position * pace)
     }
 
     /// Queues a request. If the queue is full, the least urgent and newest request of the team
@@ -155,9 +217,9 @@
         slots: u32,
         now: Instant,
     ) -> Result<(TicketKey, Option<TicketKey>)> {
-        let expected_wait = self.expected_wait(&request.service, slots);
+        let expected_wait = self.expected_wait(&request.service, &request.team, slots);
         let remaining = request.deadline.saturating_duration_since(now);
-        if expected_wait > remaining.min(limits.wait) {
+        if expected_wait.mul_f64(WAIT_MARGIN) > remaining.min(limits.wait) {
             return Err(QueueRefusal::Late { expected_wait });
         }
         let displaced = if self.waiting.len() >= limits.length {
@@ -171,22 +233,37 @@
         Ok((self.insert(request), displaced))
     }
 
-    /// Returns the next request of a service: that of the team with the fewest requests in flight
-    /// at all entries, and among equal teams the most urgent and oldest. Requests in `passed` are
-    /// passed over.
-    pub fn peek(
-        &self,
-        service: &ServiceName,
-        ledger: &TeamLedger,
-        passed: &[TicketKey],
-    ) -> Option<TicketKey> {
+    /// Returns the next request of a service: the most urgent and oldest of the team whose turn it
+    /// is. Requests in `passed` are passed over.
+    pub fn peek(&self, service: &ServiceName, passed: &[TicketKey]) -> Option<TicketKey> {
         let queue = self.services.get(service)?;
         let heads = queue.teams.iter().filter_map(|(team, waiting)| {
             let mut waiting = waiting.iter();
             let (order, ticket) = waiting.find(|(_, ticket)| !passed.contains(ticket))?;
-            Some((ledger.fleet_in_flight(team), *order, *ticket))
+            Some((queue.team_time(team), *order, *ticket))
+        });
+        let next = heads.min_by(|left, right| {
+            let order = left.0.total_cmp(&right.0);
+            order.then(left.1.cmp(&right.1))
         });
-        heads.min().map(|(_, _, ticket)| ticket)
+        next.map(|(_, _, ticket)| ticket)
+    }
+
+    /// Takes a request out because it starts. It costs its team one turn, and more if the team
+    /// has requests in flight at other entries, so that it does not get a share at each of them.
+    pub fn start(&mut self, ticket: TicketKey, ledger: &TeamLedger, now: Instant) {
+        let Some(waiting) = self.waiting.get(ticket) else {
+            return;
+        };
+        let (service, team) = (
+            waiting.request.service.clone(),
+            waiting.request.team.clone(),
+        );
+        self.remove(ticket);
+        if let Some(queue) = self.services.get_mut(&service) {
+            queue.serve(&team, ledger.fleet_share(&team).min(MOST_TURNS));
+            queue.record_start(now);
+        }
     }
 
     /// Removes a request; returns whether it was waiting.
--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -125,6 +125,14 @@
         })
     }
 
+    /// Returns how many times as many requests a team has in flight at all entries as at this one.
+    pub fn fleet_share(&self, team: &TeamName) -> f64 {
+        self.teams.get(team).map_or(1.0, |state| {
+            let own = f64::from(state.in_flight.max(1));
+            (own + f64::from(state.peer_in_flight)) / own
+        })
+    }
+
     /// Returns the requests that teams have in flight at this entry, idle teams left out.
     pub fn usage(&self) -> impl Iterator<Item = (&TeamName, u32)> {
         let teams = self.teams.iter().filter(|(_, state)| state.in_flight > 0);
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -35,7 +35,10 @@
             atomic::{AtomicU64, Ordering},
         },
     },
-    tokio::sync::{Semaphore, mpsc},
+    tokio::{
+        sync::{Semaphore, mpsc},
+        time::Instant,
+    },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -217,7 +220,7 @@
     pub fn wake(self: &Arc<Self>, service: &ServiceName) {
         let (mut grants, mut passed) = (Vec::new(), Vec::new());
         let mut state = self.state();
-        while let Some(ticket) = state.queue.peek(service, &state.ledger, &passed) {
+        while let Some(ticket) = state.queue.peek(service, &passed) {
             let Some(waiter) = state.waiters.remove(&ticket) else {
                 state.queue.remove(ticket);
                 continue;
@@ -233,7 +236,8 @@
                     passed.push(ticket);
                 }
                 granted => {
-                    state.queue.remove(ticket);
+                    let EntryState { queue, ledger, .. } = &mut *state;
+                    queue.start(ticket, ledger, Instant::now());
                     grants.push((waiter.grant, granted));
                 }
             }
