Serve requests end to end through entries, agents and stand-ins

Cause: agents passed the engine's end line on although the entry writes its own, and the load tool expected token lines in whole answers.

--- a/crates/daemon/src/agent/backend/tokens.rs
+++ b/crates/daemon/src/agent/backend/tokens.rs
@@ -54,7 +54,7 @@
 /// Whole lines that were available at once.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TokenBurst {
-    /// Index of the first token; for a burst of the end line alone, the index after the last one.
+    /// Index of the first token.
     pub first_index: u64,
     /// The lines.
     pub payload: Bytes,
@@ -90,7 +90,8 @@
         self.ended
     }
 
-    /// Takes the whole lines that are available.
+    /// Takes the whole token lines that are available. The end line is checked but left out,
+    /// because the entry, which may have joined several streams, writes its own.
     ///
     /// # Errors
     ///
@@ -99,17 +100,25 @@
         let Some(last) = self.buffer.iter().rposition(|byte| *byte == b'\n') else {
             return self.check_partial_line();
         };
-        let payload = self.buffer.split_to(last + 1).freeze();
+        let mut payload = self.buffer.split_to(last + 1);
         let first_index = self.next_index;
-        for line in payload.split(|byte| *byte == b'\n') {
-            if !line.is_empty() {
-                self.check_line(line)?;
+        let mut token_bytes = 0;
+        for line in payload.split_inclusive(|byte| *byte == b'\n') {
+            let content = line.trim_ascii_end();
+            if !content.is_empty() {
+                self.check_line(content)?;
+            }
+            if !self.ended {
+                token_bytes += line.len();
             }
         }
-        Ok(Some(TokenBurst {
+        payload.truncate(token_bytes);
+        let payload = payload.freeze();
+        let burst = TokenBurst {
             first_index,
             payload,
-        }))
+        };
+        Ok(Some(burst).filter(|burst| !burst.payload.is_empty()))
     }
 
     /// Checks that the stream has ended in good order.
--- a/crates/testkit/src/load/answer.rs
+++ b/crates/testkit/src/load/answer.rs
@@ -108,6 +108,30 @@
     }
 }
 
+#[derive(Debug, Deserialize)]
+struct WholeAnswer {
+    text: String,
+    tokens: u64,
+}
+
+/// Checks a generation that was answered as a whole.
+///
+/// # Errors
+///
+/// Fails with what is wrong about the answer.
+pub fn check_whole(prompt: &str, expected: u64, body: &[u8]) -> Result<TokenTimes, String> {
+    let answer: WholeAnswer =
+        serde_json::from_slice(body).map_err(|error| format!("body is no answer: {error}"))?;
+    let text: String = (0..expected)
+        .map(|index| token_text(prompt, index))
+        .collect();
+    if answer.tokens == expected && answer.text == text {
+        return Ok(TokenTimes::default());
+    }
+    let tokens = answer.tokens;
+    Err(format!("{tokens} of {expected} tokens, or another text"))
+}
+
 /// Checks the answer of a plain service.
 ///
 /// # Errors
