Require the executing entry to publish a change before it is accepted

Cause: the Promela model of the configuration found that a change was accepted while no entry held a lease and no agent knew of it, so the dispatch of a paused entry under the older revision could still be accepted. A process that resumed from a pause also used its view until its timer had run. Ruled out: a fault of the model; the trace needs no step that the code cannot take. Change: acceptance also waits until the executing entry has published the revision; the view carries the end of the lease and is checked at each request.

--- a/crates/core/benches/routing.rs
+++ b/crates/core/benches/routing.rs
@@ -23,6 +23,7 @@
 fn view() -> Arc<ConfigurationView> {
     let mut view = ConfigurationView {
         lease_live: true,
+        lease_expires_at: None,
         ..ConfigurationView::default()
     };
     let snapshot = Arc::make_mut(&mut view.snapshot);
--- a/crates/core/src/configuration/lease.rs
+++ b/crates/core/src/configuration/lease.rs
@@ -153,6 +153,7 @@
         ConfigurationView {
             snapshot: self.snapshot.clone().unwrap_or_default(),
             lease_live: self.state == HolderState::Live,
+            lease_expires_at: self.expires_at,
         }
     }
 
--- a/crates/core/src/configuration/view.rs
+++ b/crates/core/src/configuration/view.rs
@@ -7,6 +7,7 @@
         snapshot::{ConfigurationSnapshot, ResolvedSetting, SettingTarget},
     },
     std::sync::Arc,
+    tokio::time::Instant,
 };
 
 /// Snapshot in force at an instance.
@@ -17,9 +18,23 @@
     /// Whether the instance holds a live configuration lease. Without one, the `cut_off.*`
     /// settings apply on top.
     pub lease_live: bool,
+    /// End of the lease. A process that was paused checks it before its timer has run.
+    pub lease_expires_at: Option<Instant>,
 }
 
 impl ConfigurationView {
+    /// Returns the view as it is at the time `now`: without a live lease once the lease has ended.
+    pub fn at(self: &Arc<Self>, now: Instant) -> Arc<Self> {
+        let ended = self.lease_expires_at.is_some_and(|end| now >= end);
+        if !self.lease_live || !ended {
+            return Arc::clone(self);
+        }
+        Arc::new(Self {
+            lease_live: false,
+            ..Self::clone(self)
+        })
+    }
+
     /// Returns the revision of the snapshot.
     pub fn revision(&self) -> Revision {
         self.snapshot.revision
--- a/crates/daemon/src/agent/placer/session.rs
+++ b/crates/daemon/src/agent/placer/session.rs
@@ -312,6 +312,7 @@
         let view = ConfigurationView {
             snapshot: self.parts.configuration.borrow().clone(),
             lease_live: true,
+            lease_expires_at: None,
         };
         let target = SettingTarget {
             group: Some(&self.parts.group),
--- a/crates/daemon/src/entry/configuration.rs
+++ b/crates/daemon/src/entry/configuration.rs
@@ -45,7 +45,7 @@
     std::{fmt, future::Future, result, sync::Arc},
     store::{ConfigurationStore, HeadRead},
     tokio::{
-        sync::mpsc,
+        sync::{mpsc, watch},
         task::{AbortHandle, JoinSet},
         time::{Instant, MissedTickBehavior, interval, sleep_until, timeout},
     },
@@ -88,6 +88,8 @@
     holder: LeaseHolder,
     /// Version of the lease record, as long as it is known to be this incarnation's.
     lease_version: Option<u64>,
+    /// Revision that has been sent to the agents; changes wait for it.
+    published: watch::Sender<Option<Revision>>,
     ignored_revision: Option<Revision>,
     load_fault: Option<String>,
     reachable: bool,
@@ -198,7 +200,10 @@
                 self.send_view();
                 self.restart_expiry_timer();
             }
-            HolderEffect::Extended => self.restart_expiry_timer(),
+            HolderEffect::Extended => {
+                self.extend_view();
+                self.restart_expiry_timer();
+            }
             HolderEffect::Ignored(_) | HolderEffect::Nothing => {}
         }
     }
@@ -207,6 +212,15 @@
         self.view_sender.send_replace(Arc::new(self.holder.view()));
     }
 
+    /// Replaces the view without waking its receivers: only the end of the lease has changed.
+    fn extend_view(&self) {
+        let view = Arc::new(self.holder.view());
+        self.view_sender.send_if_modified(|current| {
+            *current = view;
+            false
+        });
+    }
+
     fn restart_expiry_timer(&mut self) {
         if let Some(timer) = self.expiry_timer.take() {
             timer.abort();
@@ -312,6 +326,7 @@
             view_sender: parts.view_sender,
             holder: LeaseHolder::new()?,
             lease_version: None,
+            published: watch::Sender::new(None),
             ignored_revision: None,
             load_fault: None,
             reachable: true,
--- a/crates/daemon/src/entry/configuration/executor.rs
+++ b/crates/daemon/src/entry/configuration/executor.rs
@@ -14,14 +14,17 @@
     sassafrasslip_core::{
         configuration::{
             AcceptanceReport, ChangeFault, ChangeRefusal, ChangeRequest, HistoryRecord,
-            LeaseObservation, judge_acceptance, report::ChangeReport,
+            LeaseObservation, Revision, judge_acceptance, report::ChangeReport,
         },
         events::LogEvent::{ChangeAccepted, ChangeConflict, ChangeRefused, ChangeUnconfirmed},
         ids::InstanceName,
         log_event,
     },
     std::{error::Error, fmt, result},
-    tokio::time::{Instant, sleep, timeout_at},
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep, timeout_at},
+    },
 };
 
 /// Lease records of long-gone entries that one change deletes at most.
@@ -99,15 +102,24 @@
 #[derive(Clone, Debug)]
 pub(super) struct ChangeExecutor {
     pub(super) store: ConfigurationStore,
+    /// Revision that this entry has sent to its agents.
+    pub(super) published: watch::Receiver<Option<Revision>>,
     /// Time until which the change has to be committed and confirmed.
     pub(super) deadline: Instant,
 }
 
 impl ChangeExecutor {
     /// Creates an executor for a change that was received now.
-    pub(super) fn new(store: ConfigurationStore) -> Self {
+    pub(super) fn new(
+        store: ConfigurationStore,
+        published: watch::Receiver<Option<Revision>>,
+    ) -> Self {
         let deadline = Instant::now() + ACCEPTANCE_LIMIT;
-        Self { store, deadline }
+        Self {
+            store,
+            published,
+            deadline,
+        }
     }
 
     /// Checks and commits a change.
@@ -211,6 +223,9 @@
         Ok(report)
     }
 
+    /// Waits until every entry with a live lease has applied the change and this entry has sent it
+    /// to its agents. Without the second condition, no agent would know of the change if no entry
+    /// held a lease, and a paused entry's dispatch under an older revision could be accepted.
     async fn wait_for_acceptance(
         &self,
         change: &CommittedChange,
@@ -220,7 +235,8 @@
             if let Ok(leases) = self.store.read_leases().await {
                 let observations: Vec<_> = leases.iter().map(|(lease, _)| lease.clone()).collect();
                 let acceptance = judge_acceptance(change.record.revision, &observations);
-                let accepted = acceptance.is_accepted();
+                let is_published = *self.published.borrow() >= Some(change.record.revision);
+                let accepted = is_published && acceptance.is_accepted();
                 *seen = Some(acceptance);
                 if accepted {
                     self.delete_forgotten(&leases).await;
--- a/crates/daemon/src/entry/configuration/messages.rs
+++ b/crates/daemon/src/entry/configuration/messages.rs
@@ -48,7 +48,7 @@
         if self.holder.applied().is_some() {
             request.pin_revision(&self.holder.view().snapshot);
         }
-        let executor = ChangeExecutor::new(self.store.clone());
+        let executor = ChangeExecutor::new(self.store.clone(), self.published.subscribe());
         let actor = context.actor_ref().clone();
         context.spawn(async move {
             let change = executor.commit(request).await?;
@@ -163,6 +163,7 @@
         self.publish_running = false;
         if let Some(revision) = revision {
             self.holder.on_published(revision);
+            self.published.send_replace(self.holder.published());
             self.start_renewal();
         }
         self.start_publish();
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -200,7 +200,7 @@
 
     /// Returns the configuration view in force.
     pub fn current_view(&self) -> Arc<ConfigurationView> {
-        Arc::clone(&self.view.borrow())
+        self.view.borrow().at(Instant::now())
     }
 
     /// Returns the first frame of a link.
