Let a key run again after an attempt is proved not to have run

Cause: a tombstone blocked its key for 24 h. A caller that was told not-run and repeated its key, as it was told to, was refused every time. A withdrawal deleted the start record; if the delete failed, or if an attempt gave up reading back a lost insert, the start record blocked the key too.

Ruled out: deleting the tombstone, or ignoring it for other attempts.

Change: a record of any state lists the excluded attempts (at most 64). An attempt replaces a tombstone that does not exclude it, conditional on its version, and carries the list over. A settlement inserts or extends a tombstone for one nonce, and takes only a record that lists this nonce as proof. One function in core computes the hash of a call, and stored answers and the table's clock move to platform, so that the entry can use them.

--- a/crates/core/src/claim/attempt.rs
+++ b/crates/core/src/claim/attempt.rs
@@ -15,9 +15,9 @@
     pub enum AttemptState {
         /// Nothing was done yet.
         Idle = "idle",
-        /// The insert of the start record is on its way.
+        /// The write of the start record is on its way.
         Inserting = "inserting",
-        /// The answer of the insert was lost; the record is read back.
+        /// The answer of the write was lost; the record is read back.
         Reading = "reading",
         /// The start record is this attempt's own.
         Claimed = "claimed",
@@ -41,6 +41,7 @@
         FoundStart = "found_start",
         FoundDone = "found_done",
         FoundTombstone = "found_tombstone",
+        FoundExcluded = "found_excluded",
         FoundOtherBody = "found_other_body",
         FoundAbsent = "found_absent",
         AnswerLost = "answer_lost",
@@ -62,6 +63,9 @@
     pub enum AttemptAction {
         /// Insert the start record if the key is absent.
         Insert = "insert",
+        /// Replace the tombstone that was found by the start record, which carries its excluded
+        /// attempts over, if the tombstone has not changed.
+        Replace = "replace",
         /// Read the record.
         Read = "read",
         /// Never given to the driver: the machine checks the deadline itself.
@@ -72,15 +76,17 @@
         Store = "store",
         /// Send the stored answer.
         Replay = "replay",
-        /// Delete the own start record and refuse: the deadline has passed.
+        /// Turn the own start record into a tombstone that excludes this attempt, and refuse: the
+        /// deadline has passed.
         WithdrawLate = "withdraw_late",
-        /// Delete the own start record and refuse: the back end could not be reached.
+        /// Turn the own start record into a tombstone that excludes this attempt, and refuse: the
+        /// back end could not be reached.
         WithdrawUnsent = "withdraw_unsent",
         /// Refuse: another attempt holds the key.
         RefuseInUse = "refuse_in_use",
         /// Refuse: the key belongs to another call.
         RefuseReused = "refuse_reused",
-        /// Refuse: a tombstone is there.
+        /// Refuse: this attempt is excluded, or the tombstone has no room for it.
         RefuseTombstone = "refuse_tombstone",
         /// Refuse: the table does not answer.
         RefuseTableDown = "refuse_table_down",
@@ -98,14 +104,33 @@
     chart.expect("charts/claim.ini is valid; a test reads it")
 });
 
+/// Returns the tombstone that an attempt which was refused has to write in place of a record, so
+/// that its own start record does not block the key; `None` if nothing has to be written.
+///
+/// `own` is the attempt's start record. A write of it whose answer was lost may still be on its
+/// way; only a write at the same key makes its condition fail.
+pub fn release_record(own: &ClaimRecord, found: Option<&ClaimRecord>) -> Option<ClaimRecord> {
+    match RecordFinding::classify(found, own.nonce, own.body_hash) {
+        RecordFinding::Absent => Some(own.excluding(own.nonce)),
+        RecordFinding::OwnStart | RecordFinding::Tombstone => {
+            found.map(|record| record.excluding(own.nonce))
+        }
+        RecordFinding::Done
+        | RecordFinding::Excluded
+        | RecordFinding::FullTombstone
+        | RecordFinding::OtherBody
+        | RecordFinding::OtherStart => None,
+    }
+}
+
 /// What happened to an attempt.
 #[derive(Clone, Copy, Debug)]
 pub enum AttemptInput<'a> {
     /// The driver starts.
     Start,
-    /// The insert was confirmed.
+    /// The insert or replacement was confirmed.
     Inserted,
-    /// A failed insert or a read showed this state of the key.
+    /// A failed write or a read showed this state of the key.
     Found(Option<&'a ClaimRecord>),
     /// The value at the key is no claim record; it counts as a start record of another attempt.
     Malformed,
@@ -199,6 +224,11 @@
         self.cancelled || now >= self.deadline
     }
 
+    /// The chart ends an attempt for its deadline only where it reads.
+    fn is_late_reading(&self, now: Instant) -> bool {
+        self.state == AttemptState::Reading && self.is_late(now)
+    }
+
     fn step(&mut self, event: AttemptEvent) -> Option<AttemptAction> {
         let transition = CHART.step(self.state, event)?;
         self.state = transition.next;
@@ -206,14 +236,13 @@
     }
 
     fn event(&self, input: AttemptInput<'_>, now: Instant) -> AttemptEvent {
-        let reading = self.state == AttemptState::Reading;
         let give_up = self.store_until.is_some_and(|until| now >= until);
         match input {
             AttemptInput::Start => AttemptEvent::Start,
             AttemptInput::Inserted => AttemptEvent::Inserted,
             AttemptInput::Found(record) => self.finding_event(record, now),
             AttemptInput::Malformed => AttemptEvent::FoundStart,
-            AttemptInput::AnswerLost | AttemptInput::TableDown if reading && self.is_late(now) => {
+            AttemptInput::AnswerLost | AttemptInput::TableDown if self.is_late_reading(now) => {
                 AttemptEvent::TooLate
             }
             AttemptInput::AnswerLost => AttemptEvent::AnswerLost,
@@ -235,7 +264,10 @@
             RecordFinding::OwnStart => AttemptEvent::FoundOwn,
             RecordFinding::OtherStart => AttemptEvent::FoundStart,
             RecordFinding::Done => AttemptEvent::FoundDone,
+            RecordFinding::Tombstone if self.is_late_reading(now) => AttemptEvent::TooLate,
             RecordFinding::Tombstone => AttemptEvent::FoundTombstone,
+            // A withdrawal could not exclude this attempt, so it must not start.
+            RecordFinding::Excluded | RecordFinding::FullTombstone => AttemptEvent::FoundExcluded,
             RecordFinding::OtherBody => AttemptEvent::FoundOtherBody,
         }
     }
--- a/crates/core/src/claim/record.rs
+++ b/crates/core/src/claim/record.rs
@@ -4,9 +4,15 @@
     crate::ids::{RequestId, ServiceName, TeamName},
     serde::{Deserialize, Serialize},
     serde_with::{DeserializeFromStr, SerializeDisplay},
+    sha2::{Digest, Sha256},
     std::{error::Error, fmt, fmt::Write as _, result, str::FromStr},
 };
 
+/// Most attempts that one record excludes. The list bounds the size of a record: 64 nonces take
+/// at most 1.4 KB of JSON. An entry makes three attempts at a request by default, so a caller can
+/// repeat its key about 20 times after `not-run` before the list is full.
+pub const MAX_EXCLUDED: usize = 64;
+
 /// Result of reading a record.
 pub type Result<T> = result::Result<T, RecordError>;
 
@@ -29,6 +35,19 @@
 #[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, PartialEq, SerializeDisplay)]
 pub struct BodyHash(pub [u8; 32]);
 
+impl BodyHash {
+    /// Hashes a call: SHA-256 of method, path and body, separated by a zero byte.
+    pub fn of_call(method: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [method.as_bytes(), path.as_bytes()] {
+            hasher.update(part);
+            hasher.update([0]);
+        }
+        hasher.update(body);
+        Self(hasher.finalize().into())
+    }
+}
+
 impl fmt::Display for BodyHash {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0
@@ -180,7 +199,7 @@
         /// Its answer.
         answer: StoredAnswer,
     },
-    /// The call was not run and cannot run any more.
+    /// The call was not run, and the excluded attempts cannot run it any more.
     Tombstone,
 }
 
@@ -192,8 +211,12 @@
     pub state: ClaimState,
     /// Hash of method, path and body.
     pub body_hash: BodyHash,
-    /// Nonce of the attempt, or of the settlement for a tombstone.
+    /// Nonce of the attempt that wrote the record or was settled by it.
     pub nonce: u64,
+    /// Nonces of the attempts that are proved not to have run and must never run. Every later
+    /// record of the key carries them over, because an excluded attempt may only be frozen.
+    #[serde(default)]
+    pub excluded: Vec<u64>,
     /// Incarnation of the process that wrote the record.
     pub incarnation: u64,
     /// Request of the attempt.
@@ -219,6 +242,21 @@
         }
     }
 
+    /// Returns whether the attempt with this nonce must never run.
+    pub fn excludes(&self, nonce: u64) -> bool {
+        self.excluded.contains(&nonce)
+    }
+
+    /// Returns the tombstone that excludes an attempt besides those that are excluded already.
+    #[must_use]
+    pub fn excluding(&self, nonce: u64) -> Self {
+        let mut tombstone = self.with_state(ClaimState::Tombstone);
+        if !tombstone.excludes(nonce) {
+            tombstone.excluded.push(nonce);
+        }
+        tombstone
+    }
+
     /// Encodes the record as a table value.
     ///
     /// # Errors
--- a/crates/core/src/claim/settlement.rs
+++ b/crates/core/src/claim/settlement.rs
@@ -12,11 +12,11 @@
     pub enum SettlementState {
         /// Nothing was done yet.
         Idle = "idle",
-        /// The insert of the tombstone is on its way.
+        /// The write of the tombstone is on its way.
         Inserting = "inserting",
         /// The record is being read.
         Reading = "reading",
-        /// A start record is there; the call may be running.
+        /// A start record is there that does not exclude the attempt.
         Waiting = "waiting",
         /// The outcome is known, or the deadline has passed.
         Ended = "ended",
@@ -29,6 +29,7 @@
         Start = "start",
         Inserted = "inserted",
         FoundTombstone = "found_tombstone",
+        FoundExcluded = "found_excluded",
         FoundStart = "found_start",
         FoundDone = "found_done",
         FoundOtherBody = "found_other_body",
@@ -43,13 +44,15 @@
 chart_labels! {
     /// Action that the driver carries out.
     pub enum SettlementAction {
-        /// Insert the tombstone if the key is absent.
+        /// Insert a tombstone that excludes the attempt if the key is absent.
         Insert = "insert",
+        /// Add the attempt to the tombstone that was found, if that has not changed.
+        Extend = "extend",
         /// Read the record.
         Read = "read",
         /// Pause, then go on with [`SettlementInput::Poll`].
         Wait = "wait",
-        /// Report `not-run`: a tombstone is there.
+        /// Report `not-run`: the record excludes the attempt.
         ReportNotRun = "report_not_run",
         /// Report `unknown`.
         ReportUnknown = "report_unknown",
@@ -70,9 +73,9 @@
 pub enum SettlementInput<'a> {
     /// The driver starts.
     Start,
-    /// The insert was confirmed.
+    /// The insert or extension was confirmed.
     Inserted,
-    /// A failed insert or a read showed this state of the key.
+    /// A failed write or a read showed this state of the key.
     Found(Option<&'a ClaimRecord>),
     /// The value at the key is no claim record; it counts as a start record.
     Malformed,
@@ -84,19 +87,22 @@
     Poll,
 }
 
-/// Settlement of one lost reply.
+/// Settlement of one attempt whose reply was lost.
 #[derive(Clone, Debug)]
 pub struct ClaimSettlement {
     state: SettlementState,
+    nonce: u64,
     body_hash: BodyHash,
     deadline: Instant,
 }
 
 impl ClaimSettlement {
-    /// Creates a settlement that is not started. After the deadline the outcome stays unknown.
-    pub fn new(body_hash: BodyHash, deadline: Instant) -> Self {
+    /// Creates a settlement of the attempt with this nonce. After the deadline an outcome that is
+    /// still open stays unknown.
+    pub fn new(nonce: u64, body_hash: BodyHash, deadline: Instant) -> Self {
         Self {
             state: CHART.initial(),
+            nonce,
             body_hash,
             deadline,
         }
@@ -132,14 +138,15 @@
         }
     }
 
-    /// The nonce plays no part: every tombstone proves that no attempt ran, and every start
-    /// record leaves it open.
     fn finding_event(&self, record: Option<&ClaimRecord>) -> SettlementEvent {
-        match RecordFinding::classify(record, 0, self.body_hash) {
+        match RecordFinding::classify(record, self.nonce, self.body_hash) {
             RecordFinding::Absent => SettlementEvent::FoundAbsent,
             RecordFinding::OwnStart | RecordFinding::OtherStart => SettlementEvent::FoundStart,
             RecordFinding::Done => SettlementEvent::FoundDone,
             RecordFinding::Tombstone => SettlementEvent::FoundTombstone,
+            RecordFinding::Excluded => SettlementEvent::FoundExcluded,
+            // The attempt cannot be excluded any more, so its outcome stays unknown.
+            RecordFinding::FullTombstone => SettlementEvent::TooLate,
             RecordFinding::OtherBody => SettlementEvent::FoundOtherBody,
         }
     }
@@ -151,6 +158,8 @@
         event,
         SettlementEvent::Start
             | SettlementEvent::Inserted
+            | SettlementEvent::FoundExcluded
+            // Only the write that follows can end the settlement with a proof.
             | SettlementEvent::FoundTombstone
             | SettlementEvent::FoundDone
             | SettlementEvent::FoundOtherBody
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -85,7 +85,7 @@
     6004 TombstoneInserted Info "tombstone inserted; the call was not run";
     6005 AnswerReplayed Info "stored answer sent again";
     6006 ClaimsSwept Info "expired claim records deleted";
-    6007 ClaimWithdrawn Info "start record deleted; the call was not run";
+    6007 ClaimWithdrawn Info "start record withdrawn; this attempt did not run the call";
     6008 ClaimRefused Info "claim refused; this attempt did not run the call";
     6009 ClaimUnknown Warn "outcome of a claimed call is unknown";
     6010 ClaimReadBack Warn "answer of a table write was lost; the record is read back";
--- a/crates/core/src/retry/outcome.rs
+++ b/crates/core/src/retry/outcome.rs
@@ -120,8 +120,9 @@
     RetryNotRun,
     /// Send the request to another target within the budget; without one, answer `unknown`.
     RetryUnknown,
-    /// Insert a tombstone: if it wins, the request was not run, otherwise its outcome is
-    /// `unknown` with this status.
+    /// Settle the attempt in the table. If a tombstone excludes it, send the request to another
+    /// target within the budget, or refuse it as `not-run`; if the call has run, answer with the
+    /// stored answer; otherwise the outcome is `unknown` with this status.
     Tombstone(u16),
     /// The outcome is `unknown`; answer with this status.
     Unknown(u16),
--- a/crates/daemon/src/agent/calls/claimed.rs
+++ b/crates/daemon/src/agent/calls/claimed.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{AdmittedCall, CallEnding, ending_before_head, plain::build_request},
-    crate::agent::claims::{ClaimCall, ClaimOutcome, ClaimRun, call_hash},
+    crate::agent::claims::{ClaimCall, ClaimOutcome, ClaimRun},
     sassafrasslip_core::claim::{BodyHash, ClaimScope},
     sassafrasslip_proto::link::{Dispatch, FailureOutcome, IdempotencyScope, RefusalReason},
 };
@@ -75,7 +75,7 @@
     };
     let body_hash = match <[u8; 32]>::try_from(body_hash.as_ref()) {
         Ok(hash) => BodyHash(hash),
-        Err(_) => call_hash(method, path, body),
+        Err(_) => BodyHash::of_call(method, path, body),
     };
     Some(ClaimCall {
         scope,
--- a/crates/daemon/src/agent/claims.rs
+++ b/crates/daemon/src/agent/claims.rs
@@ -3,27 +3,20 @@
 mod conclusion;
 pub mod inserts;
 pub mod run;
-pub mod store;
 pub mod sweeper;
-pub mod table_time;
 
-pub use {
-    run::{ClaimOutcome, ClaimRun},
-    store::WholeAnswer,
-};
+pub use run::{ClaimOutcome, ClaimRun};
 
 use {
     super::{clock::AgentClock, metrics::AgentMetrics},
-    crate::platform::{ObjectStore, TableService},
+    crate::platform::{ObjectStore, TableService, TableTime},
     inserts::InsertQueue,
     kameo::actor::{ActorRef, Spawn},
     sassafrasslip_core::{
         claim::{BodyHash, ClaimScope},
         ids::RequestId,
     },
-    sha2::{Digest, Sha256},
     std::sync::Arc,
-    table_time::TableTime,
     tokio::time::Instant,
 };
 
@@ -74,15 +67,3 @@
         }
     }
 }
-
-/// Returns the hash by which calls of one key are compared: SHA-256 of method, path and body,
-/// separated by a zero byte.
-pub fn call_hash(method: &str, path: &str, body: &[u8]) -> BodyHash {
-    let mut hasher = Sha256::new();
-    for part in [method.as_bytes(), path.as_bytes()] {
-        hasher.update(part);
-        hasher.update([0]);
-    }
-    hasher.update(body);
-    BodyHash(hasher.finalize().into())
-}
--- a/crates/daemon/src/agent/claims/conclusion.rs
+++ b/crates/daemon/src/agent/claims/conclusion.rs
@@ -1,11 +1,8 @@
 //! Last action of a claim: what the entry is told, and what is logged.
 
 use {
-    super::{
-        run::{ClaimOutcome, ClaimRun},
-        store::load_answer,
-    },
-    crate::agent::calls::refusal_name,
+    super::run::{ClaimOutcome, ClaimRun},
+    crate::{agent::calls::refusal_name, platform::load_answer},
     sassafrasslip_core::{
         claim::{AttemptAction, ClaimState},
         events::LogEvent::{AnswerReplayed, ClaimLost, ClaimRefused, ClaimUnknown, ClaimWithdrawn},
@@ -32,25 +29,37 @@
             AttemptAction::RefuseInUse => ClaimOutcome::Refused(RefusalReason::KeyInUse),
             AttemptAction::RefuseReused => ClaimOutcome::Refused(RefusalReason::KeyReused),
             AttemptAction::RefuseTombstone => ClaimOutcome::Refused(RefusalReason::Tombstone),
-            AttemptAction::RefuseTableDown => ClaimOutcome::Refused(RefusalReason::TableDown),
+            AttemptAction::RefuseTableDown => {
+                // A write whose answer was lost may have left the start record.
+                self.must_release = self.write_lost;
+                ClaimOutcome::Refused(RefusalReason::TableDown)
+            }
             AttemptAction::CheckDeadline
             | AttemptAction::Forward
             | AttemptAction::Insert
             | AttemptAction::Read
+            | AttemptAction::Replace
             | AttemptAction::Store => return self.unknown("the claim chart is inconsistent"),
         };
         self.log_outcome(&outcome);
         outcome
     }
 
-    async fn withdraw(&self, reason: RefusalReason) -> ClaimOutcome {
-        // If the delete fails, the key stays in use until the record expires; the call was not
-        // run either way.
-        let withdrawn = self.replace_record(None).await;
+    /// Turns the own start record into a tombstone. If that fails, [`ClaimRun::finish`] repeats it;
+    /// the call was not run either way.
+    async fn withdraw(&mut self, reason: RefusalReason) -> ClaimOutcome {
+        let tombstone = self.record.as_ref();
+        let tombstone = tombstone.map(|record| record.excluding(self.call.nonce));
+        let value = tombstone.and_then(|record| record.encode().ok());
+        let withdrawn = match value {
+            Some(value) => self.replace_record(self.version, value).await,
+            None => false,
+        };
+        self.must_release = !withdrawn;
         log_event!(
             ClaimWithdrawn,
             request_id = self.call.request_id,
-            deleted = withdrawn
+            replaced = withdrawn
         );
         ClaimOutcome::Refused(reason)
     }
--- a/crates/daemon/src/agent/claims/inserts.rs
+++ b/crates/daemon/src/agent/claims/inserts.rs
@@ -1,11 +1,12 @@
-//! Queue of start records: those that arrive while a transaction is in flight share the next one.
+//! Queue of start records to be written: those that arrive while a transaction is in flight share
+//! the next one.
 
 use {
     crate::{
         constants::MAX_INSERT_GROUP,
         platform::{
-            PlatformError, TableCondition, TableItem, TableOutcome, TableService, TableTransaction,
-            TableWrite,
+            ItemVersion, PlatformError, TableCondition, TableItem, TableOutcome, TableService,
+            TableTransaction, TableWrite,
         },
     },
     error_stack::Report,
@@ -23,26 +24,28 @@
 /// Result of one insert.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum InsertResult {
-    /// The record was inserted at this version.
+    /// The record was written at this version.
     Inserted {
         /// Version of the record.
         version: u64,
         /// Time by the table's clock, in milliseconds.
         time_ms: u64,
     },
-    /// The key has a record.
+    /// The key has another record.
     Found(TableItem),
-    /// The insert may have taken effect.
+    /// The write may have taken effect.
     AnswerLost,
-    /// The insert did not take effect.
+    /// The write did not take effect.
     TableDown,
 }
 
-/// Insert of a start record.
+/// Write of a start record.
 #[derive(Debug)]
 pub struct InsertRecord {
-    /// Key, which must be absent.
+    /// Key.
     pub key: String,
+    /// Version of the tombstone that the record replaces; 0 if the key must be absent.
+    pub version: ItemVersion,
     /// Encoded record.
     pub value: String,
     /// Receives the result.
@@ -147,7 +150,8 @@
         }
         Ok(TableOutcome::Conflict { conflicts, .. }) => {
             let found = conflicts.into_iter().find(|item| item.key == single[0].key);
-            // A conflict that does not show the record has to be read.
+            let found = found.filter(|item| item.value.is_some());
+            // A conflict that shows no record, or an expired one that was deleted, has to be read.
             found.map_or(InsertResult::AnswerLost, InsertResult::Found)
         }
         Err(report) => failure(&report),
@@ -157,7 +161,7 @@
 fn transaction(group: &[InsertRecord]) -> TableTransaction {
     let conditions = group.iter().map(|insert| TableCondition {
         key: insert.key.clone(),
-        version: 0,
+        version: insert.version,
     });
     let writes = group.iter().map(|insert| TableWrite {
         key: insert.key.clone(),
--- a/crates/daemon/src/agent/claims/run.rs
+++ b/crates/daemon/src/agent/claims/run.rs
@@ -4,7 +4,6 @@
     super::{
         ClaimCall, ClaimService,
         inserts::{InsertRecord, InsertResult},
-        store::{WholeAnswer, store_answer},
     },
     crate::{
         agent::backend::{BackendAnswer, BackendConnection, BackendStep, headers::answer_headers},
@@ -12,13 +11,18 @@
             CLAIM_READ_PAUSE, CLAIM_RETENTION, CLAIM_STORE_PAUSE, CLAIMED_CALL_LIMIT,
             MAX_CLAIMED_ANSWER_BYTES,
         },
-        platform::{TableCondition, TableItem, TableOutcome, TableTransaction, TableWrite},
+        platform::{
+            ItemVersion, TableItem, TableOutcome, TableTransaction, WholeAnswer, store_answer,
+        },
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::Request,
     sassafrasslip_core::{
-        claim::{AttemptAction, AttemptInput, ClaimAttempt, ClaimRecord, ClaimState, StoredAnswer},
+        claim::{
+            AttemptAction, AttemptInput, ClaimAttempt, ClaimRecord, ClaimState, StoredAnswer,
+            attempt::STORE_LIMIT, release_record,
+        },
         events::LogEvent::{ClaimDone, ClaimInserted, ClaimReadBack, ClaimStoreFailed},
         log_event,
     },
@@ -51,12 +55,18 @@
     attempt: ClaimAttempt,
     cancelled: CancellationToken,
     prepared: Option<PreparedCall>,
-    record: Option<ClaimRecord>,
-    version: u64,
+    /// Start record of this attempt, from its first write on.
+    pub(super) record: Option<ClaimRecord>,
+    /// Version of the record that was found or written last.
+    pub(super) version: ItemVersion,
     pub(super) found: Option<ClaimRecord>,
     pub(super) answer: Option<WholeAnswer>,
     stored: Option<StoredAnswer>,
     pub(super) fault: String,
+    /// Whether a write of the start record may still take effect.
+    pub(super) write_lost: bool,
+    /// Whether a refused attempt may have left its start record, which would block the key.
+    pub(super) must_release: bool,
 }
 
 impl<'a> ClaimRun<'a> {
@@ -79,6 +89,8 @@
             answer: None,
             stored: None,
             fault: String::new(),
+            write_lost: false,
+            must_release: false,
         }
     }
 
@@ -87,7 +99,12 @@
         let mut action = self.handle(AttemptInput::Start);
         loop {
             action = match action {
-                Some(AttemptAction::Insert) => self.insert().await,
+                Some(AttemptAction::Insert) => self.write_start(0, Vec::new()).await,
+                Some(AttemptAction::Replace) => {
+                    let found = self.found.take();
+                    let excluded = found.map(|record| record.excluded).unwrap_or_default();
+                    self.write_start(self.version, excluded).await
+                }
                 Some(AttemptAction::Read) => self.read().await,
                 Some(AttemptAction::Forward) => self.forward().await,
                 Some(AttemptAction::Store) => self.store().await,
@@ -97,8 +114,14 @@
         }
     }
 
-    /// Goes on writing the done record if that failed before the outcome was reported.
+    /// Goes on with the write of the done record or the withdrawal if that failed before the
+    /// outcome was reported.
     pub async fn finish(mut self) {
+        let release_until = self.service.clock.now() + STORE_LIMIT;
+        while self.must_release && self.service.clock.now() < release_until {
+            sleep(CLAIM_STORE_PAUSE).await;
+            self.must_release = !self.release().await;
+        }
         while self.attempt.is_forwarded() {
             sleep(CLAIM_STORE_PAUSE).await;
             if self.handle(AttemptInput::Retry) == Some(AttemptAction::Store) {
@@ -123,17 +146,30 @@
             return self.handle(AttemptInput::Malformed);
         };
         let action = self.handle(AttemptInput::Found(Some(&record)));
+        if record.state == ClaimState::Started && record.nonce == self.call.nonce {
+            self.record = Some(record.clone());
+        }
         self.found = Some(record);
         action
     }
 
-    async fn insert(&mut self) -> Option<AttemptAction> {
-        let Some(value) = self.start_record().await else {
+    /// Writes the start record if the item still has this version.
+    async fn write_start(
+        &mut self,
+        version: ItemVersion,
+        excluded: Vec<u64>,
+    ) -> Option<AttemptAction> {
+        let Some(value) = self.start_record(excluded).await else {
             return self.handle(AttemptInput::TableDown);
         };
         let (reply, result) = oneshot::channel();
         let key = self.call.scope.table_key();
-        let insert = InsertRecord { key, value, reply };
+        let insert = InsertRecord {
+            key,
+            version,
+            value,
+            reply,
+        };
         let _ = self.service.inserts.tell(insert).await;
         match result.await.unwrap_or(InsertResult::AnswerLost) {
             InsertResult::Inserted { version, time_ms } => {
@@ -146,6 +182,7 @@
             InsertResult::Found(item) => self.handle_found(item),
             InsertResult::AnswerLost => {
                 log_event!(ClaimReadBack, request_id = self.call.request_id);
+                self.write_lost = true;
                 self.handle(AttemptInput::AnswerLost)
             }
             InsertResult::TableDown => self.handle(AttemptInput::TableDown),
@@ -153,13 +190,16 @@
     }
 
     /// Encodes the start record; `None` if the table's time cannot be read.
-    async fn start_record(&mut self) -> Option<String> {
-        let created_ms = self.service.table_now(&self.call.scope.table_key()).await?;
+    async fn start_record(&mut self, excluded: Vec<u64>) -> Option<String> {
+        let key = self.call.scope.table_key();
+        let (table, clock) = (self.service.table.as_ref(), &self.service.table_time);
+        let created_ms = clock.now(table, &key).await?;
         let retention_ms = u64::try_from(CLAIM_RETENTION.as_millis()).unwrap_or(u64::MAX);
         let record = ClaimRecord {
             state: ClaimState::Started,
             body_hash: self.call.body_hash,
             nonce: self.call.nonce,
+            excluded,
             incarnation: self.service.incarnation,
             request_id: self.call.request_id,
             created_ms,
@@ -225,7 +265,7 @@
         let Ok(value) = record.encode() else {
             return self.handle(AttemptInput::StoreFailed);
         };
-        if self.replace_record(Some(value)).await {
+        if self.replace_record(self.version, value).await {
             log_event!(ClaimDone, request_id = self.call.request_id);
             return self.handle(AttemptInput::Stored);
         }
@@ -246,32 +286,46 @@
         Some(record.with_state(ClaimState::Done { answer }))
     }
 
-    /// Writes or deletes the record if it is still this attempt's own start record. Returns
-    /// whether the write has taken effect, now or in an earlier try whose answer was lost.
-    pub(super) async fn replace_record(&self, value: Option<String>) -> bool {
+    /// Writes the record if the item still has this version. Returns whether the write has taken
+    /// effect, now or in an earlier try whose answer was lost.
+    pub(super) async fn replace_record(&self, version: ItemVersion, value: String) -> bool {
         let key = self.call.scope.table_key();
-        let condition = TableCondition {
-            key: key.clone(),
-            version: self.version,
-        };
-        let transaction = TableTransaction {
-            conditions: vec![condition],
-            writes: vec![TableWrite {
-                key,
-                value: value.clone(),
-            }],
-        };
+        let transaction = TableTransaction::single(key, version, Some(value.clone()));
         match self.service.table.transact(transaction).await {
             Ok(TableOutcome::Committed { time_ms, .. }) => {
                 self.service.table_time.note(time_ms);
                 true
             }
             Ok(TableOutcome::Conflict { conflicts, .. }) => {
-                conflicts.first().is_some_and(|item| item.value == value)
+                let item = conflicts.first();
+                item.is_some_and(|item| item.value.as_ref() == Some(&value))
             }
             Err(_) => false,
         }
     }
+
+    /// Reads the record and replaces it by a tombstone if it may be, or become, the start record of
+    /// this attempt. Returns whether that is excluded now.
+    async fn release(&self) -> bool {
+        let Some(own) = &self.record else {
+            return true;
+        };
+        let key = self.call.scope.table_key();
+        let Ok(read) = self.service.table.read(&key).await else {
+            return false;
+        };
+        let found = read.item.value.as_deref().map(ClaimRecord::decode);
+        let Ok(found) = found.transpose() else {
+            return true;
+        };
+        let Some(tombstone) = release_record(own, found.as_ref()) else {
+            return true;
+        };
+        match tombstone.encode() {
+            Ok(value) => self.replace_record(read.item.version, value).await,
+            Err(_) => true,
+        }
+    }
 }
 
 async fn read_whole(mut answer: BackendAnswer) -> crate::agent::backend::Result<WholeAnswer> {
@@ -284,15 +338,3 @@
         body,
     })
 }
-
-impl ClaimService {
-    /// Returns the table's time; reads it if the table never told it.
-    async fn table_now(&self, key: &str) -> Option<u64> {
-        if let Some(time_ms) = self.table_time.estimate() {
-            return Some(time_ms);
-        }
-        let read = self.table.read(key).await.ok()?;
-        self.table_time.note(read.time_ms);
-        Some(read.time_ms)
-    }
-}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,9 +1,15 @@
 //! Services of the platform behind narrow traits, because their real interfaces are not known
 //! yet; each has one adapter.
 
+pub mod answers;
 pub mod http;
+pub mod table_time;
 
-pub use http::HttpPlatform;
+pub use {
+    answers::{WholeAnswer, load_answer, store_answer},
+    http::HttpPlatform,
+    table_time::TableTime,
+};
 
 use {
     bytes::Bytes,
@@ -128,6 +134,20 @@
     pub writes: Vec<TableWrite>,
 }
 
+impl TableTransaction {
+    /// Writes or deletes one item if it has this version.
+    pub fn single(key: String, version: ItemVersion, value: Option<String>) -> Self {
+        let condition = TableCondition {
+            key: key.clone(),
+            version,
+        };
+        Self {
+            conditions: vec![condition],
+            writes: vec![TableWrite { key, value }],
+        }
+    }
+}
+
 /// Result of a transaction that was decided.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TableOutcome {
--- a/crates/daemon/src/agent/claims/store.rs
+++ b/crates/daemon/src/platform/answers.rs
@@ -1,7 +1,8 @@
-//! Answers of claimed calls, in the record or in the object store.
+//! Stored answers of non-idempotent calls, in their record or in the object store.
 
 use {
-    crate::{constants::MAX_INLINE_ANSWER_BYTES, platform::ObjectStore},
+    super::ObjectStore,
+    crate::constants::MAX_INLINE_ANSWER_BYTES,
     bytes::Bytes,
     sassafrasslip_core::{
         claim::{AnswerBody, AnswerHeader, StoredAnswer},
--- a/crates/daemon/src/agent/claims/table_time.rs
+++ b/crates/daemon/src/platform/table_time.rs
@@ -1,6 +1,7 @@
 //! Estimate of the table's clock, by which records expire.
 
 use {
+    super::TableService,
     std::sync::{Mutex, PoisonError},
     tokio::time::Instant,
 };
@@ -25,4 +26,15 @@
         let passed = u64::try_from(told.elapsed().as_millis()).unwrap_or(u64::MAX);
         Some(time_ms.saturating_add(passed))
     }
+
+    /// Returns the current time by the table's clock; `None` if the table never told it and cannot
+    /// be read.
+    pub async fn now(&self, table: &dyn TableService, key: &str) -> Option<u64> {
+        if let Some(time_ms) = self.estimate() {
+            return Some(time_ms);
+        }
+        let read = table.read(key).await.ok()?;
+        self.note(read.time_ms);
+        Some(read.time_ms)
+    }
 }
