Settle lost replies in the entry with the claim machine of core

Cause: the entry had its own untyped tombstone. It had no body hash, so an agent took it for a malformed record and refused the key as in use. Its table key was not escaped: for a caller's key with a colon, and for every call without a key, the tombstone stood at another key than the agent's record, so that the entry could report not-run for a call that ran.

Ruled out: waiting for the caller's deadline after the agent itself reported that the outcome is unknown, because that start record never becomes done; and waiting that long for a table that does not answer.

Change: the entry drives ClaimSettlement for the nonce of the attempt that it dispatched, under ClaimScope::table_key and with the hash function of core. After a proof it tries another target with a new nonce within the retry budget and the deadline, else it answers not-run. A done record is replayed from the table or the object store. A started record is polled every 250 ms and answered as unknown 250 ms before the deadline. A settlement gives up on a table that has not answered for 1 s; after the deadline each table call gets 500 ms.

The test of a lost call uses typed records now; its case with a start record waits for the deadline of 2 s that it sets.

--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -104,6 +104,14 @@
 pub const CLAIMED_CALL_LIMIT: Duration = Duration::from_secs(120);
 /// Pause before a record is read again after a failed read.
 pub const CLAIM_READ_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before a record is read again whose call may be running. A lost agent leaves up to 32
+/// such calls, which together read the table 128 times a second; it takes about 2,000 reads.
+pub const CLAIM_POLL_PAUSE: Duration = Duration::from_millis(250);
+/// Time that a table or object call of a settlement gets although the caller's deadline has passed.
+pub const SETTLEMENT_GRACE: Duration = Duration::from_millis(500);
+/// Time after which a settlement gives up on a table that does not answer. It covers a lost answer
+/// and its reading back; in a longer outage, the caller learns sooner that the outcome is unknown.
+pub const SETTLEMENT_TABLE_LIMIT: Duration = Duration::from_secs(1);
 /// Pause before a done record is written again.
 pub const CLAIM_STORE_PAUSE: Duration = Duration::from_millis(500);
 /// Start records that share one transaction.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,7 +11,6 @@
 pub mod operators;
 pub mod peers;
 pub mod targets;
-pub mod tombstones;
 
 use {
     self::{
@@ -69,6 +68,7 @@
         },
         view,
         table: Arc::clone(&platform) as _,
+        objects: Arc::clone(&platform) as _,
         metrics: EntryMetrics::register(&registry),
         snapshots,
         draining: daemon.draining(),
--- a/crates/daemon/src/entry/callers/request.rs
+++ b/crates/daemon/src/entry/callers/request.rs
@@ -6,12 +6,12 @@
     bytes::Bytes,
     http::{HeaderMap, HeaderName, Method, StatusCode, header::ACCEPT, request::Parts},
     sassafrasslip_core::{
+        claim::BodyHash,
         ids::{KindName, RequestId, ServiceName, TeamName},
         routing::prefix_hash,
     },
     sassafrasslip_proto::link::Header,
     serde::Deserialize,
-    sha2::{Digest, Sha256},
     std::{borrow::Cow, result, str::FromStr, time::Duration},
     tokio::time::Instant,
 };
@@ -108,15 +108,9 @@
         }
     }
 
-    /// Returns the SHA-256 of method, path and body, by which a reused key is recognized.
-    pub fn body_hash(&self) -> Bytes {
-        let mut hash = Sha256::new();
-        for part in [self.head.method.as_str(), self.head.path.as_str()] {
-            hash.update(part);
-            hash.update([0]);
-        }
-        hash.update(&self.body.bytes);
-        Bytes::copy_from_slice(&hash.finalize())
+    /// Returns the hash by which a reused key is recognized.
+    pub fn body_hash(&self) -> BodyHash {
+        BodyHash::of_call(self.head.method.as_str(), &self.head.path, &self.body.bytes)
     }
 }
 
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -13,7 +13,7 @@
     crate::{
         constants::{EXPLAINED_REQUESTS, REQUEST_BODY_MEMORY},
         link::LinkSender,
-        platform::TableService,
+        platform::{ObjectStore, TableService, TableTime},
     },
     rand::{SeedableRng, rngs::SmallRng},
     sassafrasslip_core::{
@@ -122,8 +122,12 @@
     pub identity: EntryIdentity,
     /// Configuration in force.
     pub view: ViewReceiver,
-    /// Table, for tombstones.
+    /// Table, for the settlement of non-idempotent calls.
     pub table: Arc<dyn TableService>,
+    /// Object store, for answers that a settlement finds.
+    pub objects: Arc<dyn ObjectStore>,
+    /// Clock of the table.
+    pub table_time: TableTime,
     /// Metrics.
     pub metrics: EntryMetrics,
     /// Snapshots that peers have sent; the configuration actor receives them.
@@ -155,6 +159,8 @@
     pub view: ViewReceiver,
     /// Table.
     pub table: Arc<dyn TableService>,
+    /// Object store.
+    pub objects: Arc<dyn ObjectStore>,
     /// Metrics.
     pub metrics: EntryMetrics,
     /// Receiver side belongs to the configuration actor.
@@ -182,6 +188,8 @@
             identity: parts.identity,
             view: parts.view,
             table: parts.table,
+            objects: parts.objects,
+            table_time: TableTime::default(),
             metrics: parts.metrics,
             snapshots: parts.snapshots,
             body_memory: Arc::new(Semaphore::new(REQUEST_BODY_MEMORY)),
--- a/crates/daemon/src/entry/dispatcher.rs
+++ b/crates/daemon/src/entry/dispatcher.rs
@@ -5,6 +5,7 @@
 pub mod pending;
 pub mod run;
 pub mod settings;
+pub mod settlement;
 pub mod sums;
 pub mod tokens;
 pub mod waiting;
@@ -12,7 +13,7 @@
 use {
     self::{
         attempt::AttemptFailure, ending::RunEnd, pending::AttemptHandle, run::RequestRun,
-        settings::RunSettings, waiting::AcquireError,
+        settings::RunSettings, settlement::SettlementOutcome, waiting::AcquireError,
     },
     super::{
         callers::{
@@ -20,17 +21,18 @@
             request::CallerRequest,
         },
         context::EntryContext,
-        tombstones::{TombstoneOutcome, claim_key, try_tombstone},
     },
     http::StatusCode,
     sassafrasslip_core::{
+        claim::StoredAnswer,
         configuration::{ConfigurationView, Revision, SettingTarget},
-        events::LogEvent::{CallerGone, TeamLimited},
+        events::LogEvent::{AnswerReplayed, CallerGone, TeamLimited},
         ids::TeamName,
         limits::{TeamLimits, TeamRefusal},
         log_event,
         retry::{AttemptContext, Verdict, judge},
     },
+    sassafrasslip_proto::link::AnswerHead,
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::oneshot,
@@ -92,13 +94,16 @@
             }
             Err(failure) => failure,
         };
-        let idempotent = handle.idempotent;
+        let settled = SettledAttempt {
+            idempotent: handle.idempotent,
+            nonce: handle.nonce,
+        };
         run.end_attempt(&handle, &failure);
         drop(handle);
         if let Some(revision) = failure.wanted_revision {
             await_revision(&run.context, revision, run.deadline).await;
         }
-        if let Some(end) = settle(run, &failure, idempotent).await {
+        if let Some(end) = settle(run, &failure, settled).await {
             return end;
         }
     }
@@ -192,14 +197,21 @@
     waiting::acquire(&run.context, query, queue).await
 }
 
+/// What the rules have to know about an attempt that failed.
+#[derive(Clone, Copy, Debug)]
+struct SettledAttempt {
+    idempotent: bool,
+    nonce: u64,
+}
+
 /// Decides what follows a failed attempt; `None` asks for another one.
 async fn settle(
     run: &mut RequestRun,
     failure: &AttemptFailure,
-    idempotent: bool,
+    settled: SettledAttempt,
 ) -> Option<RunEnd> {
     let attempt = AttemptContext {
-        idempotent,
+        idempotent: settled.idempotent,
         answer_started: run.is_answer_started(),
     };
     match judge(failure.event, attempt) {
@@ -215,22 +227,45 @@
             let repeat = run.may_repeat(failure);
             (!repeat).then(|| run.unknown(StatusCode::BAD_GATEWAY, failure))
         }
-        Verdict::Tombstone(status) => Some(bury(run, failure, status_code(status)).await),
+        Verdict::Tombstone(status) => {
+            let status = status_code(status);
+            settle_claim(run, failure, settled.nonce, status).await
+        }
         Verdict::Unknown(status) => Some(run.unknown(status_code(status), failure)),
     }
 }
 
-/// Tries to prove with a tombstone that a non-idempotent call was not run.
-async fn bury(run: &mut RequestRun, failure: &AttemptFailure, status: StatusCode) -> RunEnd {
-    let head = &run.request.head;
-    let key = claim_key(&head.service, &head.team, &run.idempotency_key());
-    let table = run.context.table.as_ref();
-    match try_tombstone(table, &key, run.request.id).await {
-        TombstoneOutcome::Won => run.not_run(StatusCode::SERVICE_UNAVAILABLE, failure),
-        TombstoneOutcome::Lost | TombstoneOutcome::Unreachable => run.unknown(status, failure),
+/// Finds out what became of an attempt at a non-idempotent call whose reply was lost.
+async fn settle_claim(
+    run: &mut RequestRun,
+    failure: &AttemptFailure,
+    nonce: u64,
+    status: StatusCode,
+) -> Option<RunEnd> {
+    match settlement::settle(run, failure, nonce).await {
+        SettlementOutcome::NotRun if run.may_repeat(failure) => None,
+        SettlementOutcome::NotRun => Some(run.not_run(StatusCode::SERVICE_UNAVAILABLE, failure)),
+        SettlementOutcome::Replay(stored) => Some(replay(run, &stored).await),
+        SettlementOutcome::Unknown => Some(run.unknown(status, failure)),
     }
 }
 
+/// Answers a call with the answer that its record holds.
+async fn replay(run: &mut RequestRun, stored: &StoredAnswer) -> RunEnd {
+    let answer = match settlement::load(run, stored).await {
+        Ok(answer) => answer,
+        Err(failure) => return run.unknown(StatusCode::CONFLICT, &failure),
+    };
+    let head = AnswerHead {
+        status: answer.status.into(),
+        headers: answer.headers,
+        ..AnswerHead::default()
+    };
+    run.respond_whole(&head, answer.body, false);
+    log_event!(AnswerReplayed, request_id = run.request.id);
+    RunEnd::Answered
+}
+
 fn status_code(status: u16) -> StatusCode {
     StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
 }
--- a/crates/daemon/src/entry/dispatcher/attempt.rs
+++ b/crates/daemon/src/entry/dispatcher/attempt.rs
@@ -8,8 +8,7 @@
         tokens,
     },
     crate::{constants::MAX_ANSWER_BYTES, link::convert::request_id_to_link},
-    bytes::BytesMut,
-    rand::random,
+    bytes::{Bytes, BytesMut},
     sassafrasslip_core::{
         configuration::Revision,
         membership::{ServiceKind, TargetLoad},
@@ -89,8 +88,8 @@
     let remaining = run.deadline.saturating_duration_since(Instant::now());
     let idempotency = (!handle.idempotent).then(|| IdempotencyScope {
         key: run.idempotency_key(),
-        body_hash: request.body_hash(),
-        attempt_nonce: random(),
+        body_hash: Bytes::copy_from_slice(&request.body_hash().0),
+        attempt_nonce: handle.nonce,
     });
     Dispatch {
         request_id: Some(request_id_to_link(request.id)),
--- a/crates/daemon/src/entry/dispatcher/pending.rs
+++ b/crates/daemon/src/entry/dispatcher/pending.rs
@@ -119,6 +119,8 @@
     pub kind: ServiceKind,
     /// Whether the call may run twice.
     pub idempotent: bool,
+    /// Nonce of the attempt in the record of a non-idempotent call.
+    pub nonce: u64,
     /// Link to the agent.
     pub link: LinkSender,
     /// Frames of the answer.
@@ -176,6 +178,7 @@
             target: target.listing.name.clone(),
             kind: facts.kind,
             idempotent: facts.is_idempotent(&query.method),
+            nonce: rand::random(),
             link: link.clone(),
             frames,
             is_running: false,
--- a/crates/daemon/src/entry/dispatcher/run.rs
+++ b/crates/daemon/src/entry/dispatcher/run.rs
@@ -21,6 +21,7 @@
     bytes::Bytes,
     http::{HeaderName, HeaderValue, Response, StatusCode, header::CONTENT_TYPE},
     sassafrasslip_core::{
+        claim::ClaimScope,
         events::LogEvent::{RequestRetried, RetryBudgetExhausted, RouteDecided, StreamResumed},
         explanation::{AttemptRecord, CandidateFigures, RequestExplanation},
         log_event,
@@ -117,6 +118,16 @@
         self.request.head.key.clone().unwrap_or_else(own)
     }
 
+    /// Returns the scope of that key.
+    pub fn claim_scope(&self) -> ClaimScope {
+        let head = &self.request.head;
+        ClaimScope {
+            service: head.service.clone(),
+            team: head.team.clone(),
+            key: self.idempotency_key(),
+        }
+    }
+
     /// Returns whether part of a streamed answer has been given to the caller.
     pub fn is_answer_started(&self) -> bool {
         self.stream.is_some()
--- a/crates/daemon/tests/entry_failures.rs
+++ b/crates/daemon/tests/entry_failures.rs
@@ -3,12 +3,19 @@
 mod entry_support;
 
 use {
+    bytes::Bytes,
     entry_support::{
         FakeAgent, Reply, STREAM, Script, TEAM, TableMode, TestEntry, chunk, end, generate, head,
-        request, run, send_all, three_tokens, token, until,
+        plain_answer, request, run, send_all, three_tokens, token, until,
+    },
+    sassafrasslip_core::{
+        claim::{
+            AnswerBody, BodyHash, ClaimRecord, ClaimScope, ClaimState, MAX_EXCLUDED, StoredAnswer,
+        },
+        ids::RequestId,
     },
     sassafrasslip_daemon::platform::TableItem,
-    sassafrasslip_proto::link::{AnswerFailed, FailureOutcome, link_frame::Message},
+    sassafrasslip_proto::link::{AnswerFailed, Dispatch, FailureOutcome, link_frame::Message},
     sassafrasslip_testkit::test_cases,
     std::{
         sync::{
@@ -17,6 +24,8 @@
         },
         time::Duration,
     },
+    tokio::time::sleep,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Script for agents of one service that breaks the first call after `tokens` tokens, whichever
@@ -118,59 +127,279 @@
     });
 }
 
-/// What stands in the table when the entry loses the reply of a non-idempotent call.
-const START_RECORD: &str = r#"{"state":"started","nonce":1}"#;
-const OTHER_TOMBSTONE: &str = r#"{"state":"tombstone","request_id":"0000000000000001-1"}"#;
+const CLAIM_KEY: &str = "claim/orders/shop/k1";
+const CLAIM_HEADERS: [&str; 2] = [TEAM, "Idempotency-Key: k1"];
+
+fn claim_request(headers: &[&str]) -> String {
+    let headers = [&CLAIM_HEADERS, headers].concat();
+    request("POST", "/services/orders/runs", &headers, "")
+}
+
+/// Record of the call of [`claim_request`] by an attempt with nonce 1.
+fn claim_record(state: ClaimState) -> ClaimRecord {
+    let (entry_incarnation, counter) = (1, 1);
+    ClaimRecord {
+        state,
+        body_hash: BodyHash::of_call("POST", "/runs", b""),
+        nonce: 1,
+        excluded: Vec::new(),
+        incarnation: 1,
+        request_id: RequestId {
+            entry_incarnation,
+            counter,
+        },
+        created_ms: 0,
+        retention_ms: 1_000,
+    }
+}
+
+fn put_record(entry: &TestEntry, record: &ClaimRecord) {
+    let item = TableItem {
+        key: CLAIM_KEY.to_owned(),
+        version: 4,
+        value: Some(record.encode().unwrap()),
+    };
+    let mut items = entry.table.items.lock().unwrap();
+    items.insert(CLAIM_KEY.to_owned(), item);
+}
+
+fn stored_record(entry: &TestEntry) -> Option<ClaimRecord> {
+    let items = entry.table.items.lock().unwrap();
+    let value = items.get(CLAIM_KEY)?.value.as_deref()?;
+    Some(ClaimRecord::decode(value).unwrap())
+}
+
+fn nonce(dispatch: &Dispatch) -> u64 {
+    dispatch.idempotency.as_ref().unwrap().attempt_nonce
+}
+
+/// Sends a claimed call, lets the agent see it and closes the link; then `change` prepares the
+/// table. Returns the reply of the entry and the nonce of the attempt.
+async fn lose_call(
+    agent: &FakeAgent,
+    entry: &TestEntry,
+    headers: &[&str],
+    change: impl FnOnce(u64),
+) -> (Reply, u64) {
+    let stream = entry.send(&claim_request(headers)).await;
+    until("call runs", || agent.dispatches().len() == 1).await;
+    let nonce = nonce(&agent.dispatches()[0]);
+    change(nonce);
+    agent.state.close.cancel();
+    let reply = entry_support::read_reply(stream).await;
+    assert_eq!(agent.dispatches().len(), 1);
+    (reply, nonce)
+}
 
-fn check_lost_call(mode: TableMode, record: Option<&str>, status: u16, outcome: &str) {
+fn check_lost_call(mode: TableMode, found: Option<ClaimRecord>, status: u16, outcome: &str) {
     run(async move {
         let agent = FakeAgent::plain("t1", Arc::new(|_, _| {})).await;
         let entry = TestEntry::with_agents(&[&agent]).await;
-        let key = "claim/orders/shop/k1";
-        if let Some(record) = record {
-            let item = TableItem {
-                key: key.to_owned(),
-                version: 4,
-                value: Some(record.to_owned()),
-            };
-            entry
-                .table
-                .items
-                .lock()
-                .unwrap()
-                .insert(key.to_owned(), item);
-        }
-        *entry.table.mode.lock().unwrap() = mode;
-        let headers = [TEAM, "Idempotency-Key: k1"];
-        let stream = entry
-            .send(&request("POST", "/services/orders/runs", &headers, ""))
-            .await;
-        until("call runs", || agent.dispatches().len() == 1).await;
-        agent.state.close.cancel();
-        let reply = entry_support::read_reply(stream).await;
+        let (reply, nonce) = lose_call(&agent, &entry, &["Sassafrasslip-Deadline: 2000"], |_| {
+            if let Some(record) = &found {
+                put_record(&entry, record);
+            }
+            *entry.table.mode.lock().unwrap() = mode;
+        })
+        .await;
         assert_eq!(reply.status, status, "{reply:?}");
         assert_eq!(reply.header("sassafrasslip-outcome"), Some(outcome));
-        assert_eq!(agent.dispatches().len(), 1);
-        let items = entry.table.items.lock().unwrap();
-        let stands = items.get(key).and_then(|item| item.value.clone());
-        assert_eq!(
-            stands.is_some_and(|value| value.contains("tombstone")),
-            outcome == "not-run"
-        );
+        assert!(reply.elapsed < Duration::from_millis(2_500), "{reply:?}");
+        let stands = stored_record(&entry);
+        let excludes = |nonce| stands.as_ref().is_some_and(|record| record.excludes(nonce));
+        assert_eq!(excludes(nonce), outcome == "not-run");
+        // Those that were excluded before stay excluded.
+        let earlier = found.map(|record| record.excluded).unwrap_or_default();
+        assert!(earlier.into_iter().all(excludes));
     });
 }
 
 test_cases! {
-    fn check_lost_call(mode: TableMode, record: Option<&str>, status: u16, outcome: &str);
+    fn check_lost_call(mode: TableMode, found: Option<ClaimRecord>, status: u16, outcome: &str);
     tombstone_proves_that_the_call_was_not_run: (TableMode::Works, None, 503, "not-run");
     start_record_leaves_the_outcome_unknown:
-        (TableMode::Works, Some(START_RECORD), 502, "unknown");
-    earlier_tombstone_proves_it_too: (TableMode::Works, Some(OTHER_TOMBSTONE), 503, "not-run");
+        (TableMode::Works, Some(claim_record(ClaimState::Started)), 502, "unknown");
+    earlier_tombstone_is_extended:
+        (TableMode::Works, Some(claim_record(ClaimState::Tombstone).excluding(1)), 503, "not-run");
+    full_tombstone_leaves_the_outcome_unknown: (TableMode::Works, Some(full_tombstone()), 502, "unknown");
+    extension_whose_answer_is_lost_is_read_back:
+        (TableMode::LosesAnswers, Some(claim_record(ClaimState::Tombstone)), 503, "not-run");
     lost_answer_of_the_table_is_read_back: (TableMode::LosesAnswers, None, 503, "not-run");
     absence_after_a_lost_answer_proves_nothing: (TableMode::LosesWrites, None, 502, "unknown");
     table_down_leaves_the_outcome_unknown: (TableMode::Down, None, 502, "unknown");
 }
 
+fn full_tombstone() -> ClaimRecord {
+    let nonces = 1..=MAX_EXCLUDED as u64;
+    nonces.fold(claim_record(ClaimState::Tombstone), |one, nonce| {
+        one.excluding(nonce)
+    })
+}
+
+/// Guards against a `not-run` that is withheld although a later attempt carries the exclusion.
+#[test]
+fn start_record_of_another_attempt_that_excludes_this_one_proves_not_run() {
+    run(async {
+        let agent = FakeAgent::plain("t1", Arc::new(|_, _| {})).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        let (reply, _) = lose_call(&agent, &entry, &[], |nonce| {
+            let tombstone = claim_record(ClaimState::Tombstone).excluding(nonce);
+            put_record(&entry, &tombstone.with_state(ClaimState::Started));
+        })
+        .await;
+        assert_eq!(reply.header("sassafrasslip-outcome"), Some("not-run"));
+    });
+}
+
+/// Guards against an answer that is held back until the caller has given up.
+#[test]
+fn started_call_is_unknown_at_once_if_the_deadline_is_near() {
+    run(async {
+        let agent = FakeAgent::plain("t1", Arc::new(|_, _| {})).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        put_record(&entry, &claim_record(ClaimState::Started));
+        let reply = entry
+            .call(&claim_request(&["Sassafrasslip-Deadline: 200"]))
+            .await;
+        assert_eq!(reply.status, 504);
+        assert_eq!(reply.header("sassafrasslip-outcome"), Some("unknown"));
+        assert!(reply.elapsed < Duration::from_millis(400), "{reply:?}");
+    });
+}
+
+/// Guards against waiting for a record that never becomes done: the agent itself has given up.
+#[test]
+fn started_call_that_its_agent_gave_up_is_unknown_at_once() {
+    run(async {
+        let script = breaks_first(0, FailureOutcome::Unknown);
+        let agent = FakeAgent::plain("t1", script).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        put_record(&entry, &claim_record(ClaimState::Started));
+        let reply = entry.call(&claim_request(&[])).await;
+        assert_eq!(reply.status, 502, "{reply:?}");
+        assert_eq!(reply.header("sassafrasslip-outcome"), Some("unknown"));
+        assert!(reply.elapsed < Duration::from_secs(1), "{reply:?}");
+    });
+}
+
+/// Guards against a second run by a caller that could have had the answer.
+fn check_replayed(in_object_store: bool) {
+    run(async move {
+        let agent = FakeAgent::plain("t1", Arc::new(|_, _| {})).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        let answer = if in_object_store {
+            let body = Bytes::from_static(b"large run");
+            let checksum = xxh3_64(&body);
+            let mut objects = entry.table.objects.lock().unwrap();
+            objects.insert("answer/1".to_owned(), body);
+            StoredAnswer::Object {
+                status: 201,
+                headers: Vec::new(),
+                key: "answer/1".to_owned(),
+                length: 9,
+                checksum,
+            }
+        } else {
+            StoredAnswer::Inline {
+                status: 201,
+                headers: Vec::new(),
+                body: AnswerBody::from(b"large run".as_slice()),
+            }
+        };
+        let started = claim_record(ClaimState::Started);
+        put_record(&entry, &started);
+        let stream = entry.send(&claim_request(&[])).await;
+        until("call runs", || agent.dispatches().len() == 1).await;
+        agent.state.close.cancel();
+        // The record becomes done while the entry waits.
+        sleep(Duration::from_millis(100)).await;
+        put_record(&entry, &started.with_state(ClaimState::Done { answer }));
+        let reply = entry_support::read_reply(stream).await;
+        assert_eq!((reply.status, reply.body.as_str()), (201, "large run"));
+        assert_eq!(reply.header("sassafrasslip-outcome"), Some("answered"));
+    });
+}
+
+test_cases! {
+    fn check_replayed(in_object_store: bool);
+    done_record_is_replayed_from_the_table: (false);
+    done_record_is_replayed_from_the_object_store: (true);
+}
+
+#[test]
+fn done_call_without_a_stored_answer_is_a_conflict() {
+    run(async {
+        let agent = FakeAgent::plain("t1", Arc::new(|_, _| {})).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        let answer = StoredAnswer::NotStored;
+        let (reply, _) = lose_call(&agent, &entry, &[], |_| {
+            put_record(&entry, &claim_record(ClaimState::Done { answer }));
+        })
+        .await;
+        let reason = reply.reason();
+        assert_eq!((reply.status, reason.as_str()), (409, "answer_not_stored"));
+        assert_eq!(reply.header("sassafrasslip-outcome"), Some("unknown"));
+    });
+}
+
+/// Guards against a call that is given up, or sent twice, although its first attempt is proved not
+/// to have run.
+#[test]
+fn excluded_attempt_is_followed_by_one_at_another_target() {
+    run(async {
+        // Whichever agent gets the first call loses its link; the other one answers.
+        let calls = Arc::new(AtomicUsize::new(0));
+        let script: Script = Arc::new(move |dispatch, sender| {
+            if calls.fetch_add(1, Ordering::SeqCst) > 0 {
+                plain_answer("run 1")(dispatch, sender);
+            }
+        });
+        let first = FakeAgent::plain("t1", Arc::clone(&script)).await;
+        let second = FakeAgent::plain("t2", script).await;
+        let entry = TestEntry::with_agents(&[&first, &second]).await;
+        let stream = entry.send(&claim_request(&[])).await;
+        let sum = || first.dispatches().len() + second.dispatches().len();
+        until("call runs", || sum() == 1).await;
+        let (lost, other) = if first.dispatches().is_empty() {
+            (&second, &first)
+        } else {
+            (&first, &second)
+        };
+        lost.state.close.cancel();
+        let reply = entry_support::read_reply(stream).await;
+        assert_eq!((reply.status, reply.body.as_str()), (201, "run 1"));
+        let (lost, other) = (nonce(&lost.dispatches()[0]), nonce(&other.dispatches()[0]));
+        assert_ne!(lost, other);
+        let record = stored_record(&entry).unwrap();
+        assert!(record.excludes(lost) && !record.excludes(other));
+        assert_eq!(entry.context.metrics.retries.get(), 1);
+    });
+}
+
+/// Guards against an entry and an agent that use different table keys for one call, so that the
+/// tombstone would not exclude it. A call without a key gets one with a colon, which is escaped.
+#[test]
+fn tombstone_of_a_call_without_a_key_is_where_the_agent_looks() {
+    run(async {
+        let agent = FakeAgent::plain("t1", Arc::new(|_, _| {})).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        let stream = entry
+            .send(&request("POST", "/services/orders/runs", &[TEAM], ""))
+            .await;
+        until("call runs", || agent.dispatches().len() == 1).await;
+        agent.state.close.cancel();
+        let reply = entry_support::read_reply(stream).await;
+        assert_eq!(reply.header("sassafrasslip-outcome"), Some("not-run"));
+        let scope = ClaimScope {
+            service: "orders".parse().unwrap(),
+            team: "shop".parse().unwrap(),
+            key: agent.dispatches()[0].idempotency.clone().unwrap().key,
+        };
+        let items = entry.table.items.lock().unwrap();
+        assert!(items.contains_key(&scope.table_key()));
+    });
+}
+
 #[test]
 fn deadline_ends_a_silent_call_and_cancels_it() {
     run(async {
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -16,9 +16,9 @@
         link::{LinkSender, accept_link},
         options::EntryOptions,
         platform::{
-            InstanceList, ListedInstance, ListedRole, ListedState, PlatformError, PlatformFuture,
-            PlatformStep, TableItem, TableOutcome, TableRead, TableScan, TableService,
-            TableTransaction,
+            InstanceList, ListedInstance, ListedRole, ListedState, ObjectStore, PlatformError,
+            PlatformFuture, PlatformStep, TableItem, TableOutcome, TableRead, TableScan,
+            TableService, TableTransaction,
         },
         telemetry::MetricsRegistry,
     },
@@ -33,7 +33,10 @@
         collections::HashMap,
         future::Future,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -91,6 +94,19 @@
 pub struct FakeTable {
     pub items: Mutex<HashMap<String, TableItem>>,
     pub mode: Mutex<TableMode>,
+    pub objects: Mutex<HashMap<String, Bytes>>,
+    version: AtomicU64,
+}
+
+impl ObjectStore for FakeTable {
+    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Bytes>> {
+        let object = self.objects.lock().unwrap().get(key).cloned();
+        Box::pin(async move { Ok(object) })
+    }
+
+    fn put<'a>(&'a self, _: &'a str, _: Bytes) -> PlatformFuture<'a, ()> {
+        Box::pin(async { Err(platform_error(PlatformStep::Refused)) })
+    }
 }
 
 impl FakeTable {
@@ -113,16 +129,18 @@
                 time_ms: 0,
             };
         }
+        // Versions rise, and stay above those that tests put into the table.
+        let version = self.version.fetch_add(1, Ordering::SeqCst) + 100;
         for write in &transaction.writes {
             let item = TableItem {
                 key: write.key.clone(),
-                version: 1,
+                version,
                 value: write.value.clone(),
             };
             items.insert(write.key.clone(), item);
         }
         TableOutcome::Committed {
-            version: 1,
+            version,
             time_ms: 0,
         }
     }
@@ -181,6 +199,15 @@
 
 impl TestEntry {
     pub async fn start(name: &str, listed: Vec<ListedInstance>) -> Self {
+        Self::start_on(name, listed, None).await
+    }
+
+    /// Starts an entry on another table and object store than the fake ones.
+    pub async fn start_on(
+        name: &str,
+        listed: Vec<ListedInstance>,
+        platform: Option<(Arc<dyn TableService>, Arc<dyn ObjectStore>)>,
+    ) -> Self {
         let options = EntryOptions {
             caller_address: loopback(),
             operator_address: loopback(),
@@ -192,6 +219,8 @@
         let list = Arc::new(FakeList::default());
         *list.instances.lock().unwrap() = listed;
         let table = Arc::new(FakeTable::default());
+        let fakes: (Arc<dyn TableService>, Arc<dyn ObjectStore>) = (table.clone(), table.clone());
+        let (tables, objects) = platform.unwrap_or(fakes);
         let initial = ConfigurationView {
             lease_live: true,
             ..ConfigurationView::default()
@@ -206,7 +235,8 @@
                 incarnation: 7,
             },
             view: receiver,
-            table: Arc::clone(&table) as _,
+            table: tables,
+            objects,
             metrics: EntryMetrics::register(&MetricsRegistry::default()),
             snapshots: sender,
             draining: CancellationToken::new(),
@@ -356,7 +386,7 @@
         Self::start(name, "orders", link::ServiceKind::Plain, script).await
     }
 
-    async fn start(name: &str, service: &str, kind: link::ServiceKind, script: Script) -> Self {
+    pub async fn start(name: &str, service: &str, kind: link::ServiceKind, script: Script) -> Self {
         let facts = ServiceFacts {
             service: service.to_owned(),
             kind: kind.into(),
