--- a/crates/daemon/src/agent/placer/options.rs
+++ b/crates/daemon/src/agent/placer/options.rs
@@ -15,13 +15,15 @@
     pub renewal_interval: Duration,
     /// Time for which a free lease is left to the agent with the lowest first rank.
     pub takeover_pause: Duration,
-    /// Interval at which expert counts are collected.
+    /// Interval at which expert counts are collected. It has to stay below the silence limit of
+    /// links, because the queries are all that the placer sends on most links.
     pub collect_interval: Duration,
     /// Interval between decisions.
     pub decision_interval: Duration,
     /// Interval at which the instance list is compared with the members in use.
     pub member_interval: Duration,
-    /// Time after which older expert counts weigh half.
+    /// Time after which older expert counts weigh half. `docs/BALANCE.md` compares 10, 30 and
+    /// 120 s.
     pub count_half_life: Duration,
     /// Slots for experts that a rank has in each layer beyond an even share.
     pub spare_slots: usize,
@@ -39,10 +41,10 @@
             lease_duration: LEASE_DURATION,
             renewal_interval: LEASE_RENEWAL_INTERVAL,
             takeover_pause: LEASE_DURATION * 2,
-            collect_interval: Duration::from_secs(1),
+            collect_interval: Duration::from_secs(2),
             decision_interval: Duration::from_secs(10),
             member_interval: Duration::from_secs(2),
-            count_half_life: Duration::from_secs(30),
+            count_half_life: Duration::from_secs(10),
             spare_slots: 1,
             expert_bytes: 44_000_000,
             store_rate: 1e9,
