Run a fleet under faults drawn by a seed and audit the guarantees

Change: scripts/faults.sh starts three availability zones with relays, mixes faults by seed under load, and audits bookings, answers, revisions, accepted changes, expert maps and leaving targets at the end.

--- /dev/null
+++ b/crates/testkit/src/faults/injector/actions.rs
@@ -0,0 +1,271 @@
+//! Effect of each kind of fault on the fleet.
+
+use {
+    super::{ActiveFault, FaultInjector, LIFT_LIMIT},
+    crate::{
+        faults::{
+            leaving, operators,
+            schedule::{FaultKind, PlannedFault},
+        },
+        harness::{ChildProcess, HarnessError, ProcessSignal, Result},
+        platform::{FaultMode, FaultPlan, FaultSwitch, instances::ListedState},
+        relay::{RelayMode, RelaySwitch},
+    },
+    serde_json::json,
+    std::net::SocketAddr,
+    tokio::{task::JoinHandle, time::Instant},
+};
+
+/// Log text of the event that reports interrupted work at the end of the stop grace.
+const INTERRUPTED_EVENT: &str = "StopGraceExceeded";
+/// Delay of a slow table, in milliseconds: close to the platform timeout of 1 s.
+const TABLE_DELAY_MS: u64 = 700;
+/// Share of the answers that a table loses.
+const LOST_SHARE: f64 = 0.4;
+const RELAY_DELAY_MS: u64 = 40;
+/// Bytes of an answer link after which a cut connection is closed.
+const CUT_BYTES: u64 = 2_000;
+/// Lag of the instance list, in milliseconds.
+const LIST_LAG_MS: u64 = 20_000;
+
+type BaseCount = JoinHandle<Option<u64>>;
+
+impl FaultInjector {
+    /// Puts a fault into force.
+    pub(super) async fn inject(&mut self, fault: &PlannedFault) -> Result<Option<BaseCount>> {
+        match fault.kind {
+            FaultKind::KillEntry | FaultKind::KillAgent => {
+                self.starts.add(&fault.subject);
+                self.signal(&fault.subject, ProcessSignal::Kill)?;
+            }
+            FaultKind::FreezeEntry | FaultKind::FreezeAgent => {
+                self.signal(&fault.subject, ProcessSignal::Stop)?;
+            }
+            FaultKind::RestartEntry | FaultKind::RestartAgent => {
+                self.starts.add(&fault.subject);
+                self.signal(&fault.subject, ProcessSignal::Terminate)?;
+            }
+            FaultKind::OperatorsRace | FaultKind::ChangeRepeated => self.start_operators(fault),
+            FaultKind::ListedLeaving => return self.list_as_leaving(fault).await,
+            FaultKind::Drained => return self.drain(fault).await,
+            _ => self.switch_stand_in(fault, true).await?,
+        }
+        Ok(None)
+    }
+
+    /// Lifts a fault; returns whether it is over.
+    pub(super) async fn lift(&mut self, active: &mut ActiveFault) -> Result<bool> {
+        let fault = active.fault.clone();
+        match fault.kind {
+            FaultKind::KillEntry | FaultKind::KillAgent => {
+                self.process(&fault.subject)?.wait_exit(LIFT_LIMIT).await?;
+                self.process(&fault.subject)?.restart()?;
+            }
+            FaultKind::FreezeEntry | FaultKind::FreezeAgent => {
+                self.signal(&fault.subject, ProcessSignal::Continue)?;
+            }
+            FaultKind::RestartEntry | FaultKind::RestartAgent => {
+                return self.start_again(&fault.subject);
+            }
+            FaultKind::OperatorsRace | FaultKind::ChangeRepeated => {}
+            FaultKind::ListedLeaving => {
+                self.check_leaving(active).await;
+                self.set_listed(&fault.subject, ListedState::Live).await?;
+            }
+            FaultKind::Drained => {
+                self.check_leaving(active).await;
+                return Ok(self.set_drained(&fault.subject, false).await);
+            }
+            _ => self.switch_stand_in(&fault, false).await?,
+        }
+        Ok(true)
+    }
+
+    fn process(&mut self, name: &str) -> Result<&mut ChildProcess> {
+        let fleet = &mut self.fleet;
+        let entries = fleet.entries.iter_mut();
+        let entries = entries.map(|entry| (&entry.name, &mut entry.process));
+        let agents = fleet.agents.iter_mut();
+        let agents = agents.map(|agent| (&agent.name, &mut agent.process));
+        let found = entries.chain(agents).find(|(own, _)| *own == name);
+        found
+            .map(|(_, process)| process)
+            .ok_or_else(|| HarnessError::report(name, "no such process"))
+    }
+
+    fn signal(&mut self, name: &str, signal: ProcessSignal) -> Result<()> {
+        self.process(name)?.signal(signal)
+    }
+
+    /// Starts a process again after its planned stop; returns whether it had ended.
+    fn start_again(&mut self, name: &str) -> Result<bool> {
+        let process = self.process(name)?;
+        let Some(status) = process.try_exit()? else {
+            return Ok(false);
+        };
+        let interrupted = process.log().contains(INTERRUPTED_EVENT);
+        process.restart()?;
+        if interrupted || !status.success() {
+            let fault = format!("stop of {name}: {status}, work interrupted: {interrupted}");
+            self.stop_faults.push(fault);
+        }
+        Ok(true)
+    }
+
+    fn start_operators(&mut self, fault: &PlannedFault) {
+        let entries = self.balancer.entries();
+        let first = fault.draw as usize % entries.len();
+        let board = std::sync::Arc::clone(&self.board);
+        if fault.kind == FaultKind::OperatorsRace {
+            let second = (first + 1) % entries.len();
+            let pair = [entries[first].clone(), entries[second].clone()];
+            self.operators
+                .spawn(operators::race(board, pair, fault.draw));
+            return;
+        }
+        let mut entries = entries.to_vec();
+        entries.rotate_left(first);
+        self.operators
+            .spawn(operators::repeat(board, entries, fault.draw));
+    }
+
+    fn agent_metrics(&self, name: &str) -> Option<SocketAddr> {
+        let position = self.fleet.agent(name)?;
+        Some(self.fleet.agents[position].metrics_address)
+    }
+
+    fn count_base(&self, name: &str) -> Option<BaseCount> {
+        let agent = self.agent_metrics(name)?;
+        Some(tokio::spawn(leaving::base_count(agent, Instant::now())))
+    }
+
+    async fn list_as_leaving(&mut self, fault: &PlannedFault) -> Result<Option<BaseCount>> {
+        self.set_listed(&fault.subject, ListedState::Leaving)
+            .await?;
+        Ok(self.count_base(&fault.subject))
+    }
+
+    async fn set_listed(&mut self, name: &str, state: ListedState) -> Result<()> {
+        let instances = self.instances.instances.iter_mut();
+        instances
+            .filter(|instance| instance.instance == name)
+            .for_each(|instance| instance.state = state);
+        let address = self.fleet.platform_address;
+        self.fleet
+            .switch(address, "/admin/instances", &self.instances)
+            .await
+    }
+
+    async fn drain(&mut self, fault: &PlannedFault) -> Result<Option<BaseCount>> {
+        let reached = self.set_drained(&fault.subject, true).await;
+        if !reached {
+            self.note("       the drain did not reach the agent");
+        }
+        Ok(reached.then(|| self.count_base(&fault.subject)).flatten())
+    }
+
+    /// Asks the entries in turn to start or end a drain; returns whether one has.
+    async fn set_drained(&self, name: &str, draining: bool) -> bool {
+        let body = json!({"operator": "drainer", "draining": draining, "reason": "fault run"});
+        let path = format!("/v1/drain/{name}");
+        for entry in self.balancer.entries() {
+            let answer = self.client.post(entry.operator_address, &path, &body).await;
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn check_leaving(&mut self, active: &mut ActiveFault) {
+        let Some(base) = active.base.take() else {
+            return;
+        };
+        let agent = self.agent_metrics(&active.fault.subject);
+        if let (Some(agent), Ok(Some(base))) = (agent, base.await) {
+            let count = leaving::new_calls(agent, base).await;
+            if count > 0 {
+                let fault = format!("{count} calls 2 s after {}", active.fault);
+                self.leaving_faults.push(fault);
+            }
+        }
+    }
+
+    async fn switch_stand_in(&self, fault: &PlannedFault, on: bool) -> Result<()> {
+        match fault.kind {
+            FaultKind::TableDown
+            | FaultKind::TableSlow
+            | FaultKind::TableLosesAnswers
+            | FaultKind::ListLags => self.switch_platform(fault, on).await,
+            FaultKind::EngineDown | FaultKind::RankStalled => self.switch_engine(fault, on).await,
+            _ => self.switch_relay(fault, on).await,
+        }
+    }
+
+    async fn switch_platform(&self, fault: &PlannedFault, on: bool) -> Result<()> {
+        let mode = match fault.kind {
+            FaultKind::TableDown if on => FaultMode::Down,
+            FaultKind::TableSlow if on => FaultMode::Slow,
+            FaultKind::TableLosesAnswers if on => FaultMode::LoseAnswers,
+            _ => FaultMode::Ok,
+        };
+        let is_lag = fault.kind == FaultKind::ListLags;
+        let switch = FaultSwitch {
+            mode,
+            delay_ms: TABLE_DELAY_MS,
+            probability: if mode == FaultMode::LoseAnswers {
+                LOST_SHARE
+            } else {
+                1.0
+            },
+            seed: Some(fault.draw),
+            lag_ms: if is_lag && on { LIST_LAG_MS } else { 0 },
+        };
+        let plan = FaultPlan {
+            table: (!is_lag).then_some(switch),
+            objects: None,
+            instances: is_lag.then_some(switch),
+        };
+        let address = self.fleet.platform_address;
+        self.fleet.switch(address, "/admin/faults", &plan).await
+    }
+
+    async fn switch_engine(&self, fault: &PlannedFault, on: bool) -> Result<()> {
+        let group = self.fleet.groups.iter();
+        let mut group = group.filter(|group| group.name == fault.subject);
+        let group = group
+            .next()
+            .ok_or_else(|| HarnessError::report(&fault.subject, "no such group"))?;
+        let server = fault.draw as usize % group.servers.len();
+        let address = group.servers[server];
+        if fault.kind == FaultKind::EngineDown {
+            let body = json!({"down": on});
+            return self.fleet.switch(address, "/admin/server", &body).await;
+        }
+        let mode = if on { "stall" } else { "ok" };
+        let body = json!({"rank": server * group.ranks, "mode": mode});
+        self.fleet.switch(address, "/admin/ranks", &body).await
+    }
+
+    async fn switch_relay(&self, fault: &PlannedFault, on: bool) -> Result<()> {
+        let mode = match fault.kind {
+            _ if !on => RelayMode::Pass,
+            FaultKind::PlatformRefused | FaultKind::LinkRefused => RelayMode::Refuse,
+            FaultKind::PlatformHeld | FaultKind::LinkHeld => RelayMode::BlackHole,
+            FaultKind::PlatformDelayed | FaultKind::LinkDelayed => RelayMode::Delay,
+            _ => RelayMode::Cut,
+        };
+        let switch = RelaySwitch {
+            mode,
+            delay_ms: RELAY_DELAY_MS,
+            after_bytes: CUT_BYTES,
+        };
+        let names = [fault.subject.clone(), format!("platform-{}", fault.subject)];
+        let mut relays = self.fleet.relays.iter();
+        let relay = relays.find(|relay| names.contains(&relay.name));
+        let relay = relay.ok_or_else(|| HarnessError::report(&fault.subject, "no relay"))?;
+        self.fleet
+            .switch(relay.admin_address, "/admin/mode", &switch)
+            .await
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cases;
 pub mod demo;
 pub mod engine;
+pub mod faults;
 pub mod harness;
 pub mod http;
 pub mod load;
