Test the guarantees over real processes under failure

Cause: each guarantee had tests of parts only; none ran entries, agents and the platform together under the failure that the guarantee names. Bookings are counted at the service stand-ins. A fault run that breaks a guarantee keeps the attempts of the booking and the logs of all processes.

--- a/crates/testkit/src/faults/audit.rs
+++ b/crates/testkit/src/faults/audit.rs
@@ -9,6 +9,7 @@
         totals::FaultTotals,
     },
     crate::{
+        engine::EngineLoad,
         harness::{Fleet, Result},
         http::HttpClient,
         load::{
@@ -168,16 +169,18 @@
         }
     }
     for (order, count) in runs.iter().filter(|(_, count)| **count > 1) {
-        totals.add_doubled(format!("order {order} ran {count} times"));
+        let booked = bookings
+            .iter()
+            .find(|booked| self::order(&booked.call) == order);
+        totals.add_doubled(format!("order {order} ran {count} times: {booked:?}"));
     }
     for booked in bookings {
-        let order = order(&booked.call);
-        match (booked.end, runs.get(order)) {
+        match (booked.end, runs.get(order(&booked.call))) {
             (BookingEnd::Answered, None) => {
-                totals.add_wrong(format!("order {order} was answered and did not run"));
+                totals.add_wrong(format!("answered and did not run: {booked:?}"));
             }
             (BookingEnd::NotRun, Some(_)) => {
-                totals.add_wrong(format!("order {order} was refused as not-run and ran"));
+                totals.add_wrong(format!("refused as not-run and ran: {booked:?}"));
             }
             _ => {}
         }
@@ -185,19 +188,31 @@
     Ok(())
 }
 
-/// Checks that all ranks used the same expert map in every step; returns the number of steps.
+/// Steps of the model groups.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StepCounts {
+    /// Steps of all groups.
+    pub steps: u64,
+    /// Highest version of an expert map, which shows that maps were changed.
+    pub map_version: u64,
+}
+
+/// Checks that all ranks used the same expert map in every step.
 ///
 /// # Errors
 ///
 /// Fails if an engine does not answer.
-pub async fn check_steps(fleet: &Fleet, totals: &mut FaultTotals) -> Result<u64> {
-    let mut steps = 0;
+pub async fn check_steps(fleet: &Fleet, totals: &mut FaultTotals) -> Result<StepCounts> {
+    let mut counts = StepCounts::default();
     for group in &fleet.groups {
         let violations = fleet.violations(group).await?;
-        steps += violations.steps;
+        counts.steps += violations.steps;
+        let text = fleet.read(group.servers[0], "/v1/load").await?;
+        let load: EngineLoad = serde_json::from_str(&text).unwrap_or_default();
+        counts.map_version = counts.map_version.max(load.map_version);
         if violations.mixed_map_steps > 0 {
             totals.add_wrong(format!("{}: {violations:?}", group.name));
         }
     }
-    Ok(steps)
+    Ok(counts)
 }
--- a/crates/testkit/src/faults/callers.rs
+++ b/crates/testkit/src/faults/callers.rs
@@ -36,6 +36,8 @@
     pub call: PlannedCall,
     /// How it ended.
     pub end: BookingEnd,
+    /// Attempts with their entries, starts and outcomes, for the report of a violation.
+    pub attempts: Vec<String>,
 }
 
 /// What all callers share.
@@ -55,6 +57,8 @@
     pub totals: Mutex<FaultTotals>,
     /// Bookings.
     pub bookings: Mutex<Vec<BookedCall>>,
+    /// Start of the round.
+    pub begun: Instant,
 }
 
 fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -80,6 +84,7 @@
     unsettled: bool,
     /// Whether an earlier attempt broke because of an unplanned fault.
     broken: bool,
+    attempts: Vec<String>,
 }
 
 async fn perform(context: &CallerContext, generator: &mut ChaCha8Rng, call: PlannedCall) {
@@ -87,6 +92,7 @@
         call,
         unsettled: false,
         broken: false,
+        attempts: Vec::new(),
     };
     let mut zone: Option<String> = None;
     for number in 1..=MAX_ATTEMPTS {
@@ -96,6 +102,9 @@
         progress.call.entry = position;
         let started = Instant::now();
         let outcome = attempt(&context.arguments, &context.client, &progress.call, 0).await;
+        let at = started.duration_since(context.begun).as_secs_f64();
+        let attempt = format!("at {at:.3} s through {}: {outcome:?}", entry.name);
+        progress.attempts.push(attempt);
         if is_interruption(&outcome) && !is_explained(context, &progress.call, &entry.name, started)
         {
             let text = format!("{outcome:?} at {} of {:?}", entry.name, progress.call);
@@ -148,6 +157,7 @@
         call,
         unsettled,
         broken,
+        attempts,
     } = progress;
     let mut totals = lock(&context.totals);
     totals.requests += 1;
@@ -172,6 +182,10 @@
     };
     drop(totals);
     if matches!(call.body, CallBody::Book { .. }) {
-        lock(&context.bookings).push(BookedCall { call, end });
+        lock(&context.bookings).push(BookedCall {
+            call,
+            end,
+            attempts,
+        });
     }
 }
--- a/crates/testkit/src/faults/round.rs
+++ b/crates/testkit/src/faults/round.rs
@@ -22,7 +22,9 @@
     },
     clap::Parser,
     std::{
-        fs::File,
+        fs::{self, File},
+        io,
+        path::Path,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
@@ -121,6 +123,7 @@
         arguments,
         totals: Mutex::default(),
         bookings: Mutex::default(),
+        begun: Instant::now(),
     })
 }
 
@@ -178,6 +181,11 @@
     let totals = finish(&mut injector, &context, &observer).await?;
     watchers.shutdown().await;
     report(&mut injector, seed, &totals);
+    if !totals.is_clean() {
+        let folder = arguments.log.join(format!("seed-{seed}"));
+        let kept = keep_logs(&injector.fleet, &folder);
+        kept.map_err(|error| HarnessError::report(folder.display(), error))?;
+    }
     Ok(totals)
 }
 
@@ -220,14 +228,26 @@
     let changes = injector.board.committed().len();
     println!(
         "  {} bookings, {again} open ones answered by a repeat; {changes} change reports up to \
-         revision {}; {steps} steps; {} broken by unplanned faults",
+         revision {}; {} steps, maps up to version {}; {} broken by unplanned faults",
         bookings.len(),
         injector.board.accepted(),
+        steps.steps,
+        steps.map_version,
         totals.broken
     );
     Ok(totals)
 }
 
+/// Copies the logs of all processes, which end with the fleet's folder.
+fn keep_logs(fleet: &Fleet, folder: &Path) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    for file in fs::read_dir(fleet.file(""))? {
+        let file = file?;
+        fs::copy(file.path(), folder.join(file.file_name()))?;
+    }
+    Ok(())
+}
+
 fn report(injector: &mut FaultInjector, seed: u64, totals: &FaultTotals) {
     for violation in &totals.violations {
         println!("  {violation}");
--- /dev/null
+++ b/crates/testkit/tests/promise_p5.rs
@@ -0,0 +1,159 @@
+//! Guards P5: a leaving target gets no new work after 2 s, and its work in flight completes.
+
+mod promise_support;
+
+use {
+    clap::Parser,
+    promise_support::{
+        StreamEnd, TEAM, admitted, client, model_zone, run, start, stream, wait_until,
+    },
+    sassafrasslip_testkit::{
+        faults::leaving::LEAVING_LIMIT,
+        harness::{Fleet, ProcessSignal},
+        load::{self, LoadArguments, LoadSummary},
+        platform::{
+            FaultPlan, FaultSwitch,
+            instances::{InstanceBody, ListedState},
+        },
+    },
+    serde_json::json,
+    std::time::Duration,
+    tokio::{task::JoinHandle, time::sleep},
+};
+
+const LEAVING: &str = "drafting-1-1";
+/// Time after the limit in which no new work may come.
+const WATCHED: Duration = Duration::from_millis(1_500);
+
+/// Sends short generations for a few seconds.
+fn start_load(fleet: &Fleet) -> JoinHandle<LoadSummary> {
+    let entry = format!("--entry={}", fleet.entries[0].caller_address);
+    let arguments = [
+        "load",
+        &entry,
+        "--model-service=drafting",
+        "--rate=100",
+        "--duration=4.5",
+        "--count=100000",
+        "--max-tokens=8",
+        "--prompt-prefixes=64",
+    ];
+    let arguments = LoadArguments::parse_from(arguments);
+    tokio::spawn(load::run(arguments))
+}
+
+/// Checks that the target gets no new work from the limit on.
+async fn check_no_new_work(fleet: &Fleet) {
+    sleep(LEAVING_LIMIT).await;
+    let base = admitted(fleet, LEAVING).await;
+    sleep(WATCHED).await;
+    let later = admitted(fleet, LEAVING).await;
+    assert!(later.is_none() || later == base, "{base:?}, then {later:?}");
+}
+
+async fn check_load(load: JoinHandle<LoadSummary>) {
+    let summary = load.await.unwrap();
+    assert!(summary.is_clean() && summary.cut == 0, "{summary}");
+    assert!(summary.answered > 300, "{summary}");
+    assert_eq!(summary.answered, summary.requests, "{summary}");
+}
+
+async fn list(fleet: &Fleet, state: ListedState) {
+    let text = fleet
+        .read(fleet.platform_address, "/v1/instances")
+        .await
+        .unwrap();
+    let mut body: InstanceBody = serde_json::from_str(&text).unwrap();
+    let instances = body.instances.iter_mut();
+    instances
+        .filter(|instance| instance.instance == LEAVING)
+        .for_each(|instance| instance.state = state);
+    let address = fleet.platform_address;
+    fleet
+        .switch(address, "/admin/instances", &body)
+        .await
+        .unwrap();
+}
+
+/// Guards against agents and entries that go by what they read before the target was listed as
+/// leaving.
+#[test]
+fn listed_target_gets_no_new_work() {
+    run(async {
+        let fleet = start(model_zone(2)).await;
+        let load = start_load(&fleet);
+        sleep(Duration::from_millis(500)).await;
+        assert!(admitted(&fleet, LEAVING).await > Some(0));
+        list(&fleet, ListedState::Leaving).await;
+        check_no_new_work(&fleet).await;
+        check_load(load).await;
+    });
+}
+
+/// Guards against routing by an instance list that lags, while the target itself knows better,
+/// and against an end of the process before its work in flight is done.
+#[test]
+fn stopped_target_gets_no_new_work_although_the_list_lags() {
+    run(async {
+        let mut fleet = start(model_zone(2)).await;
+        let switch = FaultSwitch {
+            lag_ms: 30_000,
+            ..FaultSwitch::default()
+        };
+        let plan = FaultPlan {
+            instances: Some(switch),
+            ..FaultPlan::default()
+        };
+        let address = fleet.platform_address;
+        fleet.switch(address, "/admin/faults", &plan).await.unwrap();
+        let entry = fleet.entries[0].caller_address;
+        let mut streams = Vec::new();
+        for number in 0..8 {
+            streams.push(stream(entry, &format!("in flight {number}"), 600).await);
+        }
+        let load = start_load(&fleet);
+        sleep(Duration::from_millis(300)).await;
+        assert!(admitted(&fleet, LEAVING).await > Some(0));
+        list(&fleet, ListedState::Leaving).await;
+        let leaving = fleet.agent(LEAVING).unwrap();
+        let process = &mut fleet.agents[leaving].process;
+        process.signal(ProcessSignal::Terminate).unwrap();
+        check_no_new_work(&fleet).await;
+        for stream in &mut streams {
+            assert_eq!(stream.read_end().await, StreamEnd::Whole);
+            assert!(stream.check(), "the end is missing");
+        }
+        let process = &mut fleet.agents[leaving].process;
+        let status = process.wait_exit(Duration::from_secs(5)).await.unwrap();
+        assert!(status.success(), "{status}");
+        check_load(load).await;
+    });
+}
+
+/// Guards against a drain that only the entry which got it obeys, and against a drain that cannot
+/// be ended.
+#[test]
+fn drained_target_gets_no_new_work() {
+    run(async {
+        let fleet = start(model_zone(2)).await;
+        let load = start_load(&fleet);
+        sleep(Duration::from_millis(300)).await;
+        let operator = fleet.entries[0].operator_address;
+        let path = format!("/v1/drain/{LEAVING}");
+        let mut body = json!({"operator": TEAM, "reason": "test", "draining": true});
+        let answer = client().post(operator, &path, &body).await.unwrap();
+        assert_eq!(answer.status, 200);
+        check_no_new_work(&fleet).await;
+        check_load(load).await;
+        body["draining"] = false.into();
+        let answer = client().post(operator, &path, &body).await.unwrap();
+        assert_eq!(answer.status, 200);
+        let base = admitted(&fleet, LEAVING).await;
+        let load = start_load(&fleet);
+        wait_until("new work after the drain", async || {
+            admitted(&fleet, LEAVING).await > base
+        })
+        .await;
+        check_load(load).await;
+    });
+}
