--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Formatter check, lints, all tests and the model check. Installs the tools that it needs.
+# Formatter check, lints, all tests, the model check and a fault run with a fixed seed. Installs the tools that it needs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -9,3 +9,4 @@
 if [ -x scripts/check-model.sh ]; then
     scripts/check-model.sh
 fi
+scripts/faults.sh --seed 1 --seconds 60
