--- a/crates/testkit/src/harness/ports.rs
+++ b/crates/testkit/src/harness/ports.rs
@@ -5,36 +5,76 @@
     std::{
         net::{Ipv4Addr, SocketAddr, TcpListener},
         process,
-        sync::atomic::{AtomicU16, Ordering},
+        sync::{Mutex, PoisonError},
     },
 };
 
 /// First port. The range lies below the system's ephemeral ports, so that an outgoing connection
 /// does not take a port between the check and its use.
 const FIRST_PORT: u16 = 12_000;
-/// Number of ports.
-const PORT_COUNT: u16 = 20_000;
-/// Distance between the first ports of processes with neighbouring ids.
-const PROCESS_STRIDE: u32 = 311;
+/// Blocks of ports; each belongs to one process at a time.
+const BLOCK_COUNT: u32 = 100;
+/// Ports of a block, the first of which marks it as taken. A fleet needs fewer than 100.
+const BLOCK_PORTS: u16 = 200;
 
-static TAKEN: AtomicU16 = AtomicU16::new(0);
+/// Block of this process.
+#[derive(Debug)]
+struct PortBlock {
+    /// Listens on the first port as long as the block is taken. Without it, processes that start
+    /// fleets at the same time can take the same port between the check and its use.
+    _mark: TcpListener,
+    next: u16,
+    end: u16,
+}
+
+static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
 
 /// Returns a loopback address with a port that nothing listens on. Each port is returned once in
-/// a process; other processes start elsewhere in the range.
+/// a process, and no other process that uses this function gets it meanwhile.
 ///
 /// # Errors
 ///
-/// Fails if all ports are in use.
+/// Fails if all blocks are taken.
 pub fn free_address() -> Result<SocketAddr> {
-    let count = u32::from(PORT_COUNT);
-    let start = process::id().wrapping_mul(PROCESS_STRIDE) % count;
-    for _ in 0..PORT_COUNT {
-        let taken = u32::from(TAKEN.fetch_add(1, Ordering::Relaxed));
-        let offset = ((start + taken) % count) as u16;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset));
-        if TcpListener::bind(address).is_ok() {
+    let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        if let Some(address) = blocks.last_mut().and_then(PortBlock::next_free) {
             return Ok(address);
         }
+        blocks.push(take_block()?);
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Takes the first free block, starting at one that depends on the process.
+fn take_block() -> Result<PortBlock> {
+    let start = process::id() % BLOCK_COUNT;
+    for offset in 0..BLOCK_COUNT {
+        let block = ((start + offset) % BLOCK_COUNT) as u16;
+        let first = FIRST_PORT + block * BLOCK_PORTS;
+        if let Ok(mark) = TcpListener::bind(loopback(first)) {
+            return Ok(PortBlock {
+                _mark: mark,
+                next: first + 1,
+                end: first + BLOCK_PORTS,
+            });
+        }
+    }
+    Err(HarnessError::report("loopback", "no free block of ports"))
+}
+
+impl PortBlock {
+    fn next_free(&mut self) -> Option<SocketAddr> {
+        while self.next < self.end {
+            let address = loopback(self.next);
+            self.next += 1;
+            if TcpListener::bind(address).is_ok() {
+                return Some(address);
+            }
+        }
+        None
     }
-    Err(HarnessError::report("loopback", "no free port"))
 }
