--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cases;
 pub mod demo;
 pub mod engine;
+pub mod faults;
 pub mod harness;
 pub mod http;
 pub mod load;
