Measure the path and overload, before any repair

Cause: the cost of the path and the behaviour above capacity had no figures.

Change: scripts/measure.sh path and overload start a fleet of release builds and print their tables. The load tool counts answers in the steady part of a run, because answers that arrive while the queue runs out would raise the goodput of an overloaded step.

Ruled out: opening 1,000 streams at once; on the busy machine some connections to the engine exceed the agent's connect timeout, so the measurement opens one each 5 ms.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod harness;
 pub mod http;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod promela;
 pub mod relay;
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -27,7 +27,10 @@
 pub async fn run(arguments: LoadArguments) -> LoadSummary {
     let arguments = Arc::new(arguments);
     let client = HttpClient::new(Duration::from_millis(arguments.timeout_ms));
-    let recorder = Arc::new(LoadRecorder::default());
+    let recorder = Arc::new(LoadRecorder::new(
+        Duration::from_secs_f64(arguments.warm_up),
+        Duration::from_secs_f64(arguments.duration),
+    ));
     let worker = Arc::new(CallWorker {
         arguments: Arc::clone(&arguments),
         client: client.clone(),
--- a/crates/testkit/src/load/arguments.rs
+++ b/crates/testkit/src/load/arguments.rs
@@ -93,6 +93,9 @@
     /// Time after which no more calls are sent, in seconds.
     #[arg(long, value_name = "SECONDS", default_value_t = 60.0)]
     pub duration: f64,
+    /// Time at the start of the run that the steady goodput leaves out, in seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 0.0)]
+    pub warm_up: f64,
     /// Attempts of the caller; each goes to the next entry. Bookings without a key are repeated
     /// only after `not-run`.
     #[arg(long, default_value_t = 1)]
--- a/crates/testkit/src/load/summary.rs
+++ b/crates/testkit/src/load/summary.rs
@@ -10,6 +10,7 @@
         sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
+    tokio::time::Instant,
 };
 
 /// Significant digits of the histograms.
@@ -99,6 +100,10 @@
     pub elapsed_s: f64,
     /// Answered calls a second.
     pub goodput: f64,
+    /// Answered calls a second between the end of the warm-up and the last arrival. Answers that
+    /// arrive while the calls in flight at the end run out would distort the rate.
+    #[serde(default)]
+    pub steady_goodput: f64,
     /// Latency of the answered calls' last attempts.
     pub latency_ms: Percentiles,
     /// Time to the first token.
@@ -122,6 +127,9 @@
 
 #[derive(Debug)]
 struct RecorderState {
+    steady_start: Instant,
+    steady_end: Instant,
+    steady_answers: u64,
     summary: LoadSummary,
     bookings: Vec<(String, BookingEnd)>,
     latency: Histogram<u64>,
@@ -138,11 +146,23 @@
 
 impl Default for LoadRecorder {
     fn default() -> Self {
+        Self::new(Duration::ZERO, Duration::ZERO)
+    }
+}
+
+impl LoadRecorder {
+    /// Creates a recorder of a run that starts now, with the durations of its warm-up and of its
+    /// arrivals.
+    pub fn new(warm_up: Duration, arrivals: Duration) -> Self {
+        let now = Instant::now();
         let histogram = || {
             let histogram = Histogram::new_with_max(MAX_RECORDED_US, HISTOGRAM_DIGITS);
             histogram.expect("the bounds are valid")
         };
         let state = RecorderState {
+            steady_start: now + warm_up,
+            steady_end: now + arrivals,
+            steady_answers: 0,
             summary: LoadSummary::default(),
             bookings: Vec::new(),
             latency: histogram(),
@@ -234,9 +254,12 @@
     pub fn summarize(&self, elapsed: Duration) -> LoadSummary {
         let state = self.state();
         let elapsed_s = elapsed.as_secs_f64();
+        let steady_end = state.steady_end.min(Instant::now());
+        let steady = steady_end.saturating_duration_since(state.steady_start);
         LoadSummary {
             elapsed_s,
             goodput: state.summary.answered as f64 / elapsed_s,
+            steady_goodput: state.steady_answers as f64 / steady.as_secs_f64().max(1e-9),
             latency_ms: percentiles(&state.latency),
             first_token_ms: percentiles(&state.first_token),
             between_tokens_ms: percentiles(&state.between_tokens),
@@ -261,6 +284,8 @@
 
     fn record_answer(&mut self, times: &TokenTimes, elapsed: Duration) {
         self.summary.answered += 1;
+        let now = Instant::now();
+        self.steady_answers += u64::from(now >= self.steady_start && now < self.steady_end);
         self.summary.tokens += times.tokens;
         record(&mut self.latency, elapsed);
         if let Some(first) = times.first {
--- /dev/null
+++ b/crates/testkit/src/measure.rs
@@ -0,0 +1,8 @@
+//! Measurements of the path, of overload and of routing; `scripts/measure.sh` runs them.
+
+pub mod machine;
+pub mod operator;
+pub mod overload;
+pub mod path;
+pub mod process;
+pub mod table;
--- /dev/null
+++ b/crates/testkit/src/measure/overload/fleet.rs
@@ -0,0 +1,86 @@
+//! Fleet of the overload measurement: two entries in front of four engine servers.
+
+use {
+    crate::{
+        harness::{Fleet, FleetTopology, GroupTopology, HarnessError, Result, ZoneTopology},
+        measure::operator,
+    },
+    std::fmt,
+};
+
+/// Service of the fleet.
+pub const SERVICE: &str = "drafting";
+/// Requests that a server of the engine runs at once; more wait in the engine.
+pub const MAX_RUNNING: usize = 8;
+/// Servers.
+pub const SERVERS: usize = 4;
+/// Value of all limits of the baseline.
+const RAISED: usize = 10_000;
+
+/// Whether the system's limits apply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitMode {
+    /// Limits are raised out of the way.
+    Raised,
+    /// Defaults of the system.
+    System,
+}
+
+impl fmt::Display for LimitMode {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Raised => "Baseline: limits raised out of the way",
+            Self::System => "Limits of the system",
+        })
+    }
+}
+
+/// Starts the fleet.
+///
+/// # Errors
+///
+/// Fails if a process does not start or a default is not accepted.
+pub async fn start(mode: LimitMode) -> Result<Fleet> {
+    let fleet = Fleet::start(topology(mode)).await?;
+    let entry = fleet.entries.first();
+    let entry = entry.ok_or_else(|| HarnessError::report("fleet", "no entry"))?;
+    // Map changes would add noise to the step times.
+    let mut values = vec![("placement.mode", "off")];
+    let raised = RAISED.to_string();
+    if mode == LimitMode::Raised {
+        values.extend([
+            ("limits.team_concurrency", raised.as_str()),
+            ("limits.team_rate", &raised),
+            ("limits.queue_length", &raised),
+            ("limits.target_concurrency", &raised),
+        ]);
+    }
+    operator::set_defaults(&fleet, entry, &values).await?;
+    Ok(fleet)
+}
+
+fn topology(mode: LimitMode) -> FleetTopology {
+    let concurrency = match mode {
+        LimitMode::Raised => RAISED,
+        LimitMode::System => MAX_RUNNING,
+    };
+    let running = MAX_RUNNING.to_string();
+    let engine = [
+        "--popularity-skew",
+        "0",
+        "--step-us",
+        "10000",
+        "--max-running",
+        &running,
+    ];
+    let group = |name: &str| GroupTopology {
+        ranks: 2,
+        concurrency,
+        engine_arguments: engine.map(str::to_owned).to_vec(),
+        ..GroupTopology::new(name, SERVICE, SERVERS / 2)
+    };
+    let zone = ZoneTopology::new("zone-1", 2)
+        .with_group(group("group-1"))
+        .with_group(group("group-2"));
+    FleetTopology::new(vec![zone])
+}
