--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod harness;
 pub mod http;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod promela;
 pub mod relay;
