--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -88,8 +88,9 @@
 
 // Membership.
 
-/// Interval at which the platform's instance list is read.
-pub const INSTANCE_LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which the platform's instance list is read. Half of the 2 s within which a leaving
+/// target must stop to receive new work, so that a slow read still leaves time.
+pub const INSTANCE_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 // Claims.
 
