--- a/crates/testkit/src/measure/routing.rs
+++ b/crates/testkit/src/measure/routing.rs
@@ -22,6 +22,12 @@
     /// Load as a share of the capacity without cache hits, in percent.
     #[arg(long, default_value_t = 80.0)]
     pub load: f64,
+    /// Number of targets; the router samples more than 192.
+    #[arg(long, default_value_t = 24)]
+    pub targets: usize,
+    /// Duration of the arrivals of each run, in virtual seconds.
+    #[arg(long, default_value_t = 80)]
+    pub seconds: u64,
 }
 
 /// Runs all policies with all seeds and prints the tables.
@@ -37,6 +43,8 @@
             let options = |seed| RunOptions {
                 policy,
                 replies_carry_load,
+                targets: arguments.targets,
+                seconds: arguments.seconds,
                 load: arguments.load / 100.0,
                 seed,
             };
--- a/crates/testkit/src/measure/routing/run.rs
+++ b/crates/testkit/src/measure/routing/run.rs
@@ -14,18 +14,15 @@
 };
 
 const ENTRIES: usize = 4;
-const TARGETS: usize = 24;
 const PREFIXES: u64 = 200;
 const SECOND: u64 = 1_000_000;
-/// End of the arrivals.
-const END: u64 = 80 * SECOND;
-/// Time from which figures count.
-const WARM: u64 = 10 * SECOND;
+/// Part of the run after which figures count.
+const WARM: f64 = 0.125;
 const SAMPLE_INTERVAL: u64 = SECOND / 10;
-/// Target that runs slowly from a time on, and by which factor.
-const SLOW: (usize, u64, f64) = (3, 20 * SECOND, 3.0);
-/// Target that is lost at a time.
-const LOST: (usize, u64) = (11, 45 * SECOND);
+/// Target that runs slowly after a part of the run, and by which factor.
+const SLOW: (usize, f64, f64) = (3, 0.25, 3.0);
+/// Target that is lost after a part of the run.
+const LOST: (usize, f64) = (11, 0.5625);
 /// Lags of reports, in seconds.
 const LAGS: std::ops::RangeInclusive<f64> = 1.0..=10.0;
 /// Share of the cache events that are missing.
@@ -40,6 +37,10 @@
     pub policy: PolicyName,
     /// Whether the reply to a request carries the exact load.
     pub replies_carry_load: bool,
+    /// Number of targets.
+    pub targets: usize,
+    /// Duration of the arrivals, in seconds.
+    pub seconds: u64,
     /// Load as a share of the capacity without cache hits.
     pub load: f64,
     /// Seed.
@@ -70,6 +71,13 @@
     Slow,
 }
 
+impl RunOptions {
+    /// Returns the time after a part of the run.
+    fn time(&self, part: f64) -> u64 {
+        (self.seconds as f64 * SECOND as f64 * part) as u64
+    }
+}
+
 struct ModelRun {
     options: RunOptions,
     generator: ChaCha8Rng,
@@ -90,9 +98,11 @@
     let mut run = ModelRun {
         options,
         generator: ChaCha8Rng::seed_from_u64(options.seed),
-        targets: (0..TARGETS).map(|_| ModelTarget::default()).collect(),
+        targets: (0..options.targets)
+            .map(|_| ModelTarget::default())
+            .collect(),
         entries: (0..ENTRIES)
-            .map(|_| EntryChooser::new(options.policy, TARGETS))
+            .map(|_| EntryChooser::new(options.policy, options.targets))
             .collect(),
         queue: BinaryHeap::new(),
         events: BTreeMap::new(),
@@ -104,15 +114,15 @@
         waited: 0,
     };
     run.schedule(0, ModelEvent::Arrive);
-    run.schedule(WARM, ModelEvent::Sample);
-    run.schedule(SLOW.1, ModelEvent::Slow);
-    run.schedule(LOST.1, ModelEvent::Lose);
-    for target in 0..TARGETS {
+    run.schedule(options.time(WARM), ModelEvent::Sample);
+    run.schedule(options.time(SLOW.1), ModelEvent::Slow);
+    run.schedule(options.time(LOST.1), ModelEvent::Lose);
+    for target in 0..options.targets {
         let phase = run.generator.random_range(0..SECOND);
         run.schedule(phase, ModelEvent::Report(target));
     }
     while let Some(Reverse((time, number))) = run.queue.pop() {
-        if time >= END {
+        if time >= options.time(1.0) {
             break;
         }
         run.now = time;
@@ -145,7 +155,7 @@
     }
 
     fn arrive(&mut self) {
-        let capacity = (TARGETS * SLOTS) as f64 / SERVICE_US as f64;
+        let capacity = (self.options.targets * SLOTS) as f64 / SERVICE_US as f64;
         let uniform: f64 = self.generator.random();
         let gap = -(1.0 - uniform).ln() / (capacity * self.options.load);
         self.schedule(self.now + gap as u64, ModelEvent::Arrive);
@@ -170,7 +180,7 @@
         let Some(started) = started else {
             return;
         };
-        if self.now >= WARM {
+        if self.now >= self.options.time(WARM) {
             self.starts += 1;
             self.hits += u64::from(started.hit);
             self.waited += self.now - started.request.arrived;
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -6,7 +6,7 @@
 usage() {
     echo "usage: scripts/measure.sh path" >&2
     echo "       scripts/measure.sh overload [--seconds N] [--part limits|baseline]" >&2
-    echo "       scripts/measure.sh routing [--seeds N]" >&2
+    echo "       scripts/measure.sh routing [--seeds N] [--targets N] [--seconds N]" >&2
     exit 2
 }
 
