Split the plans of layers from the placement decision

Change: plans of single layers, their prices and the choice among them move to layer_options.rs; no behaviour changes. Measured: the placement tests pass unchanged.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -11,6 +11,7 @@
 pub mod greedy;
 pub mod improve;
 pub mod kind_costs;
+mod layer_options;
 pub mod layer_plan;
 pub mod policy;
 pub mod rank_health;
