Move the waiting requests of one service to a module of their own

Change: ServiceQueue moves to service_queue.rs; no behaviour changes. Measured: the tests of the limits pass unchanged.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -2,6 +2,7 @@
 
 mod pace;
 pub mod queue;
+mod service_queue;
 pub mod team;
 
 pub use {
