Measure how control traffic grows with the fleet

The design page sets limits for control at a node, but nothing showed how bytes, processor time, memory and table calls grow with links, teams, services and ranks.

scripts/measure.sh capacity runs entries and agents of three sizes each against fakes that speak the link protocol and prints one series with its slope a line.

--- /dev/null
+++ b/crates/testkit/src/capacity.rs
@@ -0,0 +1,33 @@
+//! Slopes of the costs of control traffic, measured with small fleets on loopback.
+
+pub mod claims;
+pub mod fakes;
+pub mod frames;
+pub mod links;
+pub mod memory;
+pub mod placement;
+pub mod series;
+pub mod table;
+pub mod usage;
+
+use {crate::harness::Result, series::MeasuredSeries};
+
+/// Runs all measurements and prints one line for each series.
+///
+/// # Errors
+///
+/// Fails if a process cannot be started or a call fails.
+pub async fn run() -> Result<()> {
+    println!("capacity: sizes of encoded frames");
+    frames::measure().iter().for_each(MeasuredSeries::print);
+    println!("capacity: placement");
+    placement::measure()?.iter().for_each(MeasuredSeries::print);
+    println!("capacity: links of one entry");
+    links::measure().await?;
+    println!("capacity: memory of one entry");
+    memory::measure().await?;
+    println!("capacity: table calls");
+    table::measure().await?;
+    println!("capacity: table calls of non-idempotent calls");
+    claims::measure().await
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,6 +2,7 @@
 //! measurements. This package is not shipped.
 
 pub mod balance;
+pub mod capacity;
 pub mod cases;
 pub mod demo;
 pub mod engine;
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,6 +5,7 @@
 
 usage() {
     echo "usage: scripts/measure.sh balance [--seeds N] [--seconds N] [--threads N]" >&2
+    echo "       scripts/measure.sh capacity" >&2
     exit 2
 }
 
@@ -21,6 +22,13 @@
         target/release/examples/balance --part "$part" "$@"
     done
     ;;
+capacity)
+    # docs/CAPACITY.md explains the series.
+    cargo build --locked --release -p sassafrasslip-daemon --bins
+    cargo build --locked --release -p sassafrasslip-testkit --example capacity \
+        --example engine --example platform --example service
+    exec target/release/examples/capacity
+    ;;
 *)
     usage
     ;;
