Apply the costs of request kinds to the whole group, in one unit

Cause: only the agent beside the placer reports the costs, so the other targets of the group counted as 1; and the placer gave expert tokens a step where routing expects a figure relative to one request. Routing within a group was biased by which agent ran the placer. Ruled out: reports of all agents, because only the placer has the counts of the group. Change: the cost is relative to a request that loads all live ranks alike; the entry gives the costs to all targets of the group.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -208,7 +208,31 @@
     /// Records a report of an agent; returns whether the target has just started to drain.
     pub fn reported(&mut self, key: TargetKey, status: AgentStatus) -> bool {
         let target = self.targets.get_mut(key);
-        target.is_some_and(|target| target.report(status))
+        let starts_to_drain = target.is_some_and(|target| target.report(status));
+        self.share_kind_costs(key);
+        starts_to_drain
+    }
+
+    /// Gives the costs of request kinds to all targets of the group. Only the agent with the
+    /// group's placer reports them, and the ranks of all targets step together.
+    fn share_kind_costs(&mut self, key: TargetKey) {
+        let Some(source) = self.targets.get_mut(key) else {
+            return;
+        };
+        let costs = source.reported_costs();
+        let was_source = std::mem::replace(&mut source.is_cost_source, !costs.is_empty());
+        if costs.is_empty() && !was_source {
+            return;
+        }
+        let Some(group) = source.listing.group.clone() else {
+            source.set_kind_costs(costs);
+            return;
+        };
+        let members = self.targets.values_mut();
+        let members = members.filter(|target| target.listing.group.as_ref() == Some(&group));
+        for member in members {
+            member.set_kind_costs(costs.clone());
+        }
     }
 
     /// Records that a request is sent to a target.
--- a/crates/core/src/membership/target.rs
+++ b/crates/core/src/membership/target.rs
@@ -122,9 +122,14 @@
     own_in_flight: u32,
     /// Requests of other entries, as of the last figure of the agent.
     others_in_flight: u32,
-    kind_costs: Vec<(u64, f32)>,
+    kind_costs: KindCosts,
+    /// Whether the last report carried costs, because the placer of the group runs there.
+    pub(super) is_cost_source: bool,
 }
 
+/// Costs of request kinds, by the hash of the kind.
+pub(super) type KindCosts = Vec<(u64, f32)>;
+
 /// Returns the hash under which the cost of a request kind is kept.
 pub fn kind_hash(kind: &KindName) -> u64 {
     xxh3_64(kind.as_str().as_bytes())
@@ -153,6 +158,7 @@
             own_in_flight: 0,
             others_in_flight: 0,
             kind_costs: Vec::new(),
+            is_cost_source: false,
         }
     }
 
@@ -228,14 +234,20 @@
         self.connected = false;
     }
 
+    pub(super) fn set_kind_costs(&mut self, costs: KindCosts) {
+        self.kind_costs = costs;
+    }
+
+    /// Returns the costs of the last report.
+    pub(super) fn reported_costs(&self) -> KindCosts {
+        // A cost that is no number would make the order of scores meaningless.
+        let costs = self.status.kind_costs.iter();
+        let costs = costs.filter(|(_, cost)| cost.is_finite() && *cost >= 0.0);
+        costs.map(|(kind, cost)| (kind_hash(kind), *cost)).collect()
+    }
+
     pub(super) fn report(&mut self, mut status: AgentStatus) -> bool {
         let starts_to_drain = status.load.draining && !self.status.load.draining;
-        // A cost that is no number would make the order of scores meaningless.
-        let costs = status
-            .kind_costs
-            .iter()
-            .filter(|(_, cost)| cost.is_finite() && *cost >= 0.0);
-        self.kind_costs = costs.map(|(kind, cost)| (kind_hash(kind), *cost)).collect();
         status.cached_prefixes.sort_unstable();
         self.status = status;
         self.see_in_flight(self.status.load.in_flight);
--- a/crates/core/src/placement/kind_costs.rs
+++ b/crates/core/src/placement/kind_costs.rs
@@ -56,8 +56,8 @@
     }
 }
 
-/// Returns the tokens for each step that one more request adds to the hottest rank of a layer,
-/// averaged over the layers.
+/// Returns the load that one more request adds to the hottest rank of a layer, averaged over the
+/// layers and relative to a request that adds the same to every live rank: 1 is neutral.
 pub fn hot_rank_cost(
     map: &ExpertMap,
     counts: &ExpertCounts,
@@ -74,11 +74,13 @@
             continue;
         }
         let requests = (GROWTH * loads.iter().sum::<f64>() / request).max(1.0);
+        let live = weights.iter().filter(|weight| **weight > 0.0).count();
+        let even = request / live.max(1) as f64;
         let before = slowest(&loads, weights);
         for (load, more) in loads.iter_mut().zip(&added) {
             *load += more * requests;
         }
-        cost += (slowest(&loads, weights) - before) / requests;
+        cost += (slowest(&loads, weights) - before) / (requests * even);
     }
     cost / map.layers().max(1) as f64
 }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -3,6 +3,7 @@
 use {
     sassafrasslip_core::membership::{
         AgentFacts, AgentStatus, Membership, ServiceKind, TargetKey, TargetListing, TargetLoad,
+        target::kind_hash,
     },
     sassafrasslip_testkit::test_cases,
     std::net::SocketAddr,
@@ -163,3 +164,47 @@
     listed_method_may_run_twice: (ServiceKind::Plain, "GET", true);
     other_method_runs_once: (ServiceKind::Plain, "POST", false);
 }
+
+fn group_listing(name: &str, port: u16, group: &str) -> TargetListing {
+    TargetListing {
+        group: Some(group.parse().unwrap()),
+        ..listing(name, port, false)
+    }
+}
+
+fn report_costs(membership: &mut Membership, key: TargetKey, costs: &[(&str, f32)]) {
+    let costs = costs
+        .iter()
+        .map(|(kind, cost)| (kind.parse().unwrap(), *cost));
+    let status = AgentStatus {
+        kind_costs: costs.collect(),
+        ..status(0, false)
+    };
+    membership.reported(key, status);
+}
+
+/// Guards against routing that prefers or avoids the target beside which the placer runs: only its
+/// agent reports the costs, but they hold for the whole group.
+#[test]
+fn costs_of_request_kinds_hold_for_all_targets_of_the_group() {
+    let captions = kind_hash(&"captions".parse().unwrap());
+    let mut membership = Membership::default();
+    let listings = vec![
+        group_listing("a", 1, "g1"),
+        group_listing("b", 2, "g1"),
+        group_listing("c", 3, "g2"),
+    ];
+    let keys = membership.apply_list(listings).joined;
+    let costs = |membership: &Membership| {
+        let cost = |key: &TargetKey| membership.target(*key).unwrap().kind_cost(captions);
+        keys.iter().map(cost).collect::<Vec<_>>()
+    };
+    report_costs(&mut membership, keys[0], &[("captions", 3.0)]);
+    assert_eq!(costs(&membership), [3.0, 3.0, 1.0]);
+    // Agents without the placer report no costs; that must not clear those of the group.
+    report_costs(&mut membership, keys[1], &[]);
+    assert_eq!(costs(&membership), [3.0, 3.0, 1.0]);
+    // The placer has left the agent.
+    report_costs(&mut membership, keys[0], &[]);
+    assert_eq!(costs(&membership), [1.0, 1.0, 1.0]);
+}
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -221,3 +221,14 @@
     let cost = |profile| hot_rank_cost(&map, &counts, &weights, profile);
     assert!(cost(&hot) > 2.0 * cost(&cold));
 }
+
+/// Guards against a cost in other units than the one request that it is compared with.
+#[test]
+fn request_that_loads_all_ranks_alike_has_the_neutral_cost() {
+    let weights = vec![1.0; SHAPE.ranks];
+    let mut even = ExpertCounts::new(SHAPE.layers, SHAPE.experts);
+    even.tokens_mut().fill(1.0);
+    let map = ExpertMap::dealt_in_turn(1, SHAPE.layers, SHAPE.experts, SHAPE.ranks);
+    let cost = hot_rank_cost(&map, &even, &weights, &even);
+    assert!((cost - 1.0).abs() < 1e-9, "{cost}");
+}
