Measure the pause that a map change costs

Cause: the pause of a change was required but not measured. Change: scripts/measure.sh map_change watches the steps of a group under load through several changes.

--- a/crates/testkit/src/measure.rs
+++ b/crates/testkit/src/measure.rs
@@ -1,6 +1,7 @@
 //! Measurements of the path, of overload and of routing; `scripts/measure.sh` runs them.
 
 pub mod machine;
+pub mod map_change;
 pub mod operator;
 pub mod overload;
 pub mod path;
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -6,6 +6,7 @@
 usage() {
     echo "usage: scripts/measure.sh balance [--seeds N] [--seconds N] [--threads N]" >&2
     echo "       scripts/measure.sh capacity" >&2
+    echo "       scripts/measure.sh map_change" >&2
     echo "       scripts/measure.sh overload [--seconds N] [--part limits|baseline]" >&2
     echo "       scripts/measure.sh path" >&2
     echo "       scripts/measure.sh routing [--seeds N] [--targets N] [--seconds N]" >&2
@@ -32,7 +33,7 @@
         "$release/balance" --part "$part" "$@"
     done
     ;;
-capacity | overload | path)
+capacity | map_change | overload | path)
     # docs/CAPACITY.md and docs/MEASUREMENTS.md explain the tables.
     build_fleet
     "$release/$subcommand" "$@"
