Bind addresses, report figures and load a group in one place each

Cause: three copies of the error for an address that cannot be bound and of the code that binds it (entry, agent, metrics); two structs with the same three figures and a conversion between them; the topology and the load of a map change stood in a test and in a measurement. Change: listen::bind serves all three with the same messages; the orders use ReportExtras directly; the test uses the topology and the load of measure::map_change, with its assertions unchanged. The entry gives the costs of request kinds to the targets of the service by its index, not by a pass over all targets. The metrics server no longer returns an address that nobody used.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -228,10 +228,14 @@
             source.set_kind_costs(costs);
             return;
         };
-        let members = self.targets.values_mut();
-        let members = members.filter(|target| target.listing.group.as_ref() == Some(&group));
-        for member in members {
-            member.set_kind_costs(costs.clone());
+        let Some(service) = self.by_service.get(&source.listing.service) else {
+            return;
+        };
+        for key in &service.keys {
+            let member = &mut self.targets[*key];
+            if member.listing.group.as_ref() == Some(&group) {
+                member.set_kind_costs(costs.clone());
+            }
         }
     }
 
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -21,6 +21,7 @@
         DaemonError, Result,
         constants::LINK_CLOSE_TIMEOUT,
         lifecycle::Daemon,
+        listen,
         options::{AgentOptions, DaemonOptions, InstanceOptions, agent::TargetKind},
         platform::{HttpPlatform, InstanceList, ObjectStore, TableService},
         telemetry::{
@@ -41,32 +42,11 @@
         PROTOCOL_VERSION,
         link::{Hello, ProcessRole, ServiceFacts, ServiceKind},
     },
-    std::{error::Error, fmt, net::SocketAddr, sync::Arc},
+    std::sync::Arc,
     tokio::{net::TcpListener, sync::watch, time::timeout},
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// The address of a setting cannot be bound.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ListenError {
-    /// Address of the setting `[agent] link_address`.
-    pub address: SocketAddr,
-    /// Reason given by the system.
-    pub fault: String,
-}
-
-impl fmt::Display for ListenError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "[agent] link_address = {}: {}",
-            self.address, self.fault
-        )
-    }
-}
-
-impl Error for ListenError {}
-
 /// What an agent needs from its surroundings.
 pub struct AgentParts {
     /// Section `agent`.
@@ -202,7 +182,9 @@
     };
     let health = HealthState::default();
     let daemon = Daemon::new(options.stop, health.clone());
-    let listener = bind(agent_options.link_address).await?;
+    let listener = listen::bind("agent", "link_address", agent_options.link_address)
+        .await
+        .change_context(DaemonError::Listen)?;
     let registry = MetricsRegistry::default();
     metrics_server::serve(options.metrics.address, registry.clone(), health)
         .await
@@ -234,13 +216,3 @@
     agent.close_links().await;
     Ok(())
 }
-
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    bound
-        .map_err(|error| {
-            let fault = error.to_string();
-            Report::new(ListenError { address, fault })
-        })
-        .change_context(DaemonError::Listen)
-}
--- a/crates/daemon/src/agent/orders.rs
+++ b/crates/daemon/src/agent/orders.rs
@@ -7,11 +7,9 @@
 pub mod engine;
 pub mod figures;
 
-pub use figures::GroupFigures;
-
 use {
     super::placer::lease::{LeaseRecord, lease_key},
-    crate::platform::TableService,
+    crate::{agent::order_handler::ReportExtras, platform::TableService},
     convert::{order_from_link, reply_to_link},
     engine::{EngineClient, EngineLoad, OrderAnswer},
     figures::FigureBook,
@@ -102,7 +100,7 @@
     }
 
     /// Returns the figures of the group for the agent's reports.
-    pub fn report_extras(&self) -> GroupFigures {
+    pub fn report_extras(&self) -> ReportExtras {
         self.shared.figures().group_figures()
     }
 
--- a/crates/daemon/src/agent/orders/figures.rs
+++ b/crates/daemon/src/agent/orders/figures.rs
@@ -2,6 +2,7 @@
 
 use {
     super::engine::{EngineLoad, TokenTable},
+    crate::agent::order_handler::ReportExtras,
     sassafrasslip_core::{
         ids::KindName,
         placement::{ExpertCounts, ExpertMap, KindProfiles, hot_rank_cost},
@@ -13,21 +14,10 @@
 /// Part of the mean step time that a new report replaces.
 const STEP_TIME_SMOOTHING: f64 = 0.3;
 
-/// Figures for the agent's reports.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct GroupFigures {
-    /// Load that one more request of each kind adds to the hottest rank.
-    pub kind_costs: Vec<KindCost>,
-    /// Version of the expert map.
-    pub map_version: u64,
-    /// Mean duration of a step, in microseconds.
-    pub mean_step_us: u64,
-}
-
 /// Figures and the counters that they are computed from.
 #[derive(Debug, Default)]
 pub struct FigureBook {
-    figures: GroupFigures,
+    figures: ReportExtras,
     profiles: KindProfiles,
     /// Cumulative counters of the engine's last report.
     seen: BTreeMap<String, (u64, TokenTable)>,
@@ -35,7 +25,7 @@
 
 impl FigureBook {
     /// Returns the figures.
-    pub fn group_figures(&self) -> GroupFigures {
+    pub fn group_figures(&self) -> ReportExtras {
         self.figures.clone()
     }
 
--- a/crates/daemon/src/agent/placement.rs
+++ b/crates/daemon/src/agent/placement.rs
@@ -4,7 +4,7 @@
     super::{
         AgentContext,
         order_handler::{OrderFuture, OrderHandler, ReportExtras},
-        orders::{GroupFigures, OrderParticipant},
+        orders::OrderParticipant,
         placer::{self, PlacerOptions, PlacerParts},
     },
     crate::{
@@ -69,15 +69,6 @@
     }
 
     fn report_extras(&self) -> ReportExtras {
-        let GroupFigures {
-            kind_costs,
-            map_version,
-            mean_step_us,
-        } = Self::report_extras(self);
-        ReportExtras {
-            kind_costs,
-            map_version,
-            mean_step_us,
-        }
+        Self::report_extras(self)
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod entry;
 pub mod lifecycle;
 pub mod link;
+pub mod listen;
 pub mod options;
 pub mod platform;
 pub mod telemetry;
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -2,51 +2,24 @@
 
 use {
     super::HealthState,
+    crate::listen::{Result, bind},
     bytes::Bytes,
-    error_stack::Report,
     http_body_util::Full,
     hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     prometheus_client::{encoding::text::encode, registry::Registry},
     std::{
         convert::Infallible,
-        error::Error,
-        fmt,
         net::SocketAddr,
-        result,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     tokio::net::TcpListener,
 };
 
-/// Result of starting the metrics server.
-pub type Result<T> = result::Result<T, Report<MetricsError>>;
-
 /// Time that a scraper has to send its request.
 const SCRAPE_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// The metrics address cannot be bound.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct MetricsError {
-    /// Address of the setting `[metrics] address`.
-    pub address: SocketAddr,
-    /// Reason given by the system.
-    pub fault: String,
-}
-
-impl fmt::Display for MetricsError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "[metrics] address = {}: {}",
-            self.address, self.fault
-        )
-    }
-}
-
-impl Error for MetricsError {}
-
 /// Registry to which every part of the process adds its metrics. Clones share the registry.
 #[derive(Clone, Debug)]
 pub struct MetricsRegistry {
@@ -84,17 +57,10 @@
     address: SocketAddr,
     registry: MetricsRegistry,
     health: HealthState,
-) -> Result<SocketAddr> {
-    let fail = |error: std::io::Error| {
-        Report::new(MetricsError {
-            address,
-            fault: error.to_string(),
-        })
-    };
-    let listener = TcpListener::bind(address).await.map_err(fail)?;
-    let bound = listener.local_addr().map_err(fail)?;
+) -> Result<()> {
+    let listener = bind("metrics", "address", address).await?;
     tokio::spawn(accept_scrapers(listener, registry, health));
-    Ok(bound)
+    Ok(())
 }
 
 async fn accept_scrapers(listener: TcpListener, registry: MetricsRegistry, health: HealthState) {
--- a/crates/testkit/src/measure/map_change.rs
+++ b/crates/testkit/src/measure/map_change.rs
@@ -21,6 +21,8 @@
 const SHIFT_PAUSE: Duration = Duration::from_secs(15);
 /// Time before a new version during which the gate may have stopped the group.
 const CHANGE_SPAN: Duration = Duration::from_secs(1);
+/// Longest load; it is aborted when the watch ends.
+const LOAD_SECONDS: u64 = 120;
 const ENGINE: [&str; 6] = [
     "--popularity-skew=2",
     "--token-us=300",
@@ -44,11 +46,8 @@
 /// Fails if the fleet does not start or the engine does not answer.
 pub async fn run() -> Result<()> {
     println!("{}\n", machine::describe());
-    let mut group = GroupTopology::new("drafting-1", "drafting", 3);
-    group.engine_arguments = ENGINE.map(str::to_owned).to_vec();
-    let zone = ZoneTopology::new("ruwi", 1).with_group(group);
-    let fleet = Fleet::start(FleetTopology::new(vec![zone])).await?;
-    let load = tokio::spawn(load::run(load_arguments(&fleet)));
+    let fleet = Fleet::start(topology()).await?;
+    let load = tokio::spawn(load::run(load_arguments(&fleet, LOAD_SECONDS)));
     let sightings = watch(&fleet, fleet.groups[0].servers[0]).await?;
     load.abort();
     let violations = fleet.violations(&fleet.groups[0]).await?;
@@ -57,15 +56,24 @@
     Ok(())
 }
 
-fn load_arguments(fleet: &Fleet) -> LoadArguments {
+/// Returns a fleet with one group whose expert popularity makes a change of the map worth its cost.
+pub fn topology() -> FleetTopology {
+    let mut group = GroupTopology::new("drafting-1", "drafting", 3);
+    group.engine_arguments = ENGINE.map(str::to_owned).to_vec();
+    FleetTopology::new(vec![ZoneTopology::new("ruwi", 1).with_group(group)])
+}
+
+/// Returns the load that keeps the group busy, for at most `seconds`.
+pub fn load_arguments(fleet: &Fleet, seconds: u64) -> LoadArguments {
     let entry = format!("--entry={}", fleet.entries[0].caller_address);
+    let duration = format!("--duration={seconds}");
     LoadArguments::parse_from([
         "load",
         &entry,
         "--model-service=drafting",
         "--concurrency=24",
         "--count=1000000",
-        "--duration=120",
+        &duration,
     ])
 }
 
--- a/crates/testkit/tests/promise_p1.rs
+++ b/crates/testkit/tests/promise_p1.rs
@@ -3,12 +3,12 @@
 mod promise_support;
 
 use {
-    clap::Parser,
     promise_support::{run, start},
     sassafrasslip_testkit::{
         engine::EngineLoad,
-        harness::{Fleet, FleetTopology, GroupTopology, ProcessSignal, ZoneTopology},
-        load::{self, LoadArguments},
+        harness::{Fleet, ProcessSignal},
+        load,
+        measure::map_change::{load_arguments, topology},
     },
     serde_json::json,
     std::time::Duration,
@@ -18,33 +18,8 @@
 /// Time in which the placer has to change the map once. It decides every 10 s, and its successor
 /// waits for the lease of a placer that was killed.
 const CHANGE_LIMIT: Duration = Duration::from_secs(40);
-/// Skew that makes a change of the map worth its cost.
-const SKEW: [&str; 6] = [
-    "--popularity-skew=2",
-    "--token-us=300",
-    "--load-expert-us=20000",
-    "--step-us=2000",
-    "--experts=16",
-    "--layers=4",
-];
-
-fn topology() -> FleetTopology {
-    let mut group = GroupTopology::new("drafting-1", "drafting", 3);
-    group.engine_arguments = SKEW.map(str::to_owned).to_vec();
-    FleetTopology::new(vec![ZoneTopology::new("ruwi", 1).with_group(group)])
-}
-
-fn load_arguments(fleet: &Fleet) -> LoadArguments {
-    let entry = format!("--entry={}", fleet.entries[0].caller_address);
-    LoadArguments::parse_from([
-        "load",
-        &entry,
-        "--model-service=drafting",
-        "--concurrency=24",
-        "--count=1000000",
-        "--duration=60",
-    ])
-}
+/// Longest load, in seconds; it is aborted when the test ends.
+const LOAD_SECONDS: u64 = 60;
 
 async fn map_version(fleet: &Fleet) -> u64 {
     let server = fleet.groups[0].servers[0];
@@ -82,7 +57,7 @@
 fn map_changes_in_one_step_while_agents_are_frozen() {
     run(async {
         let mut fleet = start(topology()).await;
-        let load = tokio::spawn(load::run(load_arguments(&fleet)));
+        let load = tokio::spawn(load::run(load_arguments(&fleet, LOAD_SECONDS)));
         let first = freeze_until_changed(&mut fleet).await;
         let shift = json!({"kind": "general", "shift": 5});
         let server = fleet.groups[0].servers[0];
