Add a gateway that dispatches straight to targets on the users' platform

Cause: on the users' platform plain targets have no slot for an agent and the agents' machines are small, so the entry has to speak to targets itself. Not done: peers, group state, maps, tests of the new code.

--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,31 @@
+//! Decisions of a gateway, an entry that dispatches straight to targets without an agent.
+//!
+//! Everything here is free of input and output: listings, answers and the current time come in as
+//! arguments, decisions go out as values.
+
+pub mod channel_plan;
+pub mod event_stream;
+pub mod failure;
+pub mod retry_allowance;
+pub mod route_table;
+pub mod target_choice;
+pub mod target_health;
+pub mod target_roster;
+pub mod waiting_line;
+
+pub use {
+    channel_plan::{ChannelPlan, plan_channel},
+    event_stream::EventSplitter,
+    failure::{AttemptFailure, FailureContext, NextStep, decide_next_step},
+    retry_allowance::RetryAllowance,
+    route_table::{
+        CallerLimits, EngineProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule, RouteTable,
+        ServiceRule, TeamRule,
+    },
+    target_choice::{ChoiceInput, TargetChoice, choose_target},
+    target_health::TargetHealth,
+    target_roster::{
+        DirectTarget, RosterChange, TargetEntry, TargetId, TargetKey, TargetRoster, TargetState,
+    },
+    waiting_line::{LineEntry, LineKey, LineRefusal, WaitingLine},
+};
--- /dev/null
+++ b/crates/core/src/dispatch/target_health.rs
@@ -0,0 +1,91 @@
+//! What the answers of a target have shown about it.
+//!
+//! A target that fails is left out for a time that grows with each failure in a row, and tried
+//! again with one request at a time, so that a target that flaps is neither flooded on its return
+//! nor shut out for long.
+
+use {std::time::Duration, tokio::time::Instant};
+
+/// Failures in a row after which a target is left out. One failure alone may be a lost packet.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// First time for which a target is left out.
+const FIRST_EJECTION: Duration = Duration::from_millis(300);
+
+/// Longest time for which a target is left out, so that a target that is back is found quickly.
+const LONGEST_EJECTION: Duration = Duration::from_millis(1200);
+
+/// Weight of the newest outcome in the running share of failures: about the last eight requests.
+const NEWEST_WEIGHT: f64 = 0.12;
+
+/// Health of a target from the view of one gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TargetHealth {
+    failures_in_row: u32,
+    ejected_until: Option<Instant>,
+    /// Whether the one trial request after an ejection is in flight.
+    is_on_trial: bool,
+    /// Running share of failed requests, 0 to 1.
+    failure_share: f64,
+}
+
+impl TargetHealth {
+    /// Records an answer that shows that the target works.
+    pub fn record_success(&mut self) {
+        self.failures_in_row = 0;
+        self.ejected_until = None;
+        self.is_on_trial = false;
+        self.failure_share *= 1.0 - NEWEST_WEIGHT;
+    }
+
+    /// Records a failure; returns whether the target is left out from now on.
+    pub fn record_failure(&mut self, now: Instant) -> bool {
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        self.is_on_trial = false;
+        self.failure_share += (1.0 - self.failure_share) * NEWEST_WEIGHT;
+        if self.failures_in_row < FAILURES_TO_EJECT {
+            return false;
+        }
+        let doublings = (self.failures_in_row - FAILURES_TO_EJECT).min(4);
+        let ejection = FIRST_EJECTION * 2_u32.pow(doublings);
+        self.ejected_until = Some(now + ejection.min(LONGEST_EJECTION));
+        true
+    }
+
+    /// Leaves the target out until a time, whatever its answers were.
+    pub fn eject_until(&mut self, until: Instant) {
+        self.failures_in_row = self.failures_in_row.max(FAILURES_TO_EJECT);
+        self.ejected_until = Some(until);
+        self.is_on_trial = false;
+    }
+
+    /// Notes that a request is sent.
+    pub fn record_start(&mut self) {
+        if self.ejected_until.is_some() {
+            self.is_on_trial = true;
+        }
+    }
+
+    /// Notes that a request ended without showing anything about the target.
+    pub fn record_neutral(&mut self) {
+        self.is_on_trial = false;
+    }
+
+    /// Returns whether a request may be sent now.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        match self.ejected_until {
+            None => true,
+            Some(until) => now >= until && !self.is_on_trial,
+        }
+    }
+
+    /// Returns whether the target is left out or on trial.
+    pub fn is_ejected(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+
+    /// Returns the running share of failed requests, 0 to 1.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+}
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -59,6 +59,14 @@
     2011 DispatchReceived Info "dispatch received";
     2012 DispatchDeclined Info "dispatch refused by the agent";
     2013 DispatchEnded Info "dispatch ended at the agent";
+    2020 AttemptDecided Info "request goes to a target";
+    2021 AttemptFailed Info "attempt failed";
+    2022 GatewayAnswered Info "request answered by a target";
+    2023 GatewayRefused Info "request refused; it was not run";
+    2024 GatewayUnknown Warn "outcome of the request is unknown";
+    2025 StreamMoved Info "broken stream goes on at another target";
+    2026 StreamCut Warn "stream cut; the answer does not look complete";
+    2027 CallerLeft Info "caller left before the end of the answer";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
@@ -71,6 +79,9 @@
     4007 ChangeRefused Warn "configuration change refused";
     4008 DrainOrdered Info "operator ordered a drain or its end";
     4009 ChangeUnconfirmed Warn "configuration change is committed but not confirmed in time";
+    4010 TableApplied Info "configuration revision in force";
+    4011 TableRejected Warn "configuration document cannot be used";
+    4012 TableOutdated Warn "older configuration ignored";
     5001 PlacementDecided Info "placement decision";
     5002 MapChangeStarted Info "expert map change started";
     5003 MapChangeCommitted Info "expert map change committed";
@@ -96,6 +107,12 @@
     7004 LinkOpened Info "link opened";
     7005 LinkClosed Warn "link closed";
     7006 TargetUnhealthy Warn "target failed its health check";
+    7007 TargetListed Info "target joined";
+    7008 TargetLeft Info "target left";
+    7009 TargetEjected Warn "target is left out for a while";
+    7010 TargetUnreadable Warn "entry of the instance list cannot be read";
+    7011 GroupChanged Info "state of a model group";
+    7012 PeerChanged Info "peer gateway joined or left";
     8001 PlatformUnavailable Warn "platform call failed";
     8002 PlatformRecovered Info "platform answers again";
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod chart;
 pub mod claim;
 pub mod configuration;
+pub mod dispatch;
 pub mod events;
 pub mod explanation;
 pub mod ids;
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -21,6 +21,8 @@
 pub enum DaemonCommand {
     /// Accept callers and route their requests.
     Entry(EntryArguments),
+    /// Accept callers and dispatch straight to targets, without agents.
+    Gateway(GatewayArguments),
     /// Guard one target.
     Agent(AgentArguments),
     /// Check a settings file without starting.
@@ -44,6 +46,17 @@
     pub operator_address: Option<SocketAddr>,
 }
 
+/// Arguments of `gateway`.
+#[derive(Args, Debug)]
+pub struct GatewayArguments {
+    /// Settings file.
+    #[arg(long, short = 'f', value_name = "FILE", env = "SASSAFRASSLIP_SETTINGS")]
+    pub file: PathBuf,
+    /// Settings that win over the file.
+    #[command(flatten)]
+    pub overrides: OverrideArguments,
+}
+
 /// Arguments of `agent`.
 #[derive(Args, Debug)]
 pub struct AgentArguments {
--- /dev/null
+++ b/crates/daemon/src/gateway.rs
@@ -0,0 +1,66 @@
+//! Gateway: accepts callers and dispatches their requests straight to targets.
+
+pub mod admission;
+pub mod callers;
+pub mod channels;
+pub mod exchange;
+pub mod metrics;
+pub mod readiness;
+pub mod refresh;
+pub mod relay;
+pub mod reply;
+pub mod request;
+pub mod state;
+
+use {
+    self::{metrics::GatewayMetrics, state::GatewayState},
+    crate::{
+        DaemonError, Result,
+        lifecycle::Daemon,
+        listen::bind,
+        options::DaemonOptions,
+        telemetry::{self, HealthState, MetricsRegistry},
+    },
+    error_stack::{Report, ResultExt},
+    sassafrasslip_platform::StoreClient,
+    std::rc::Rc,
+    tokio::task::LocalSet,
+};
+
+/// Runs a gateway until it is stopped.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn serve(options: DaemonOptions) -> Result<()> {
+    LocalSet::new().run_until(serve_local(options)).await
+}
+
+async fn serve_local(options: DaemonOptions) -> Result<()> {
+    let gateway = options.gateway.clone();
+    let gateway = gateway.ok_or_else(|| Report::new(DaemonError::ReadSettings))?;
+    let health = HealthState::default();
+    let registry = MetricsRegistry::default();
+    let daemon = Daemon::new(options.stop.clone(), health.clone());
+    let callers = bind("gateway", "caller_address", gateway.caller_address);
+    let callers = callers.await.change_context(DaemonError::Listen)?;
+    let readiness = bind("gateway", "readiness_address", gateway.readiness_address);
+    let readiness = readiness.await.change_context(DaemonError::Listen)?;
+    let address = options.metrics.address;
+    let started = telemetry::metrics::serve(address, registry.clone(), health.clone()).await;
+    started.change_context(DaemonError::Listen)?;
+    let store = StoreClient::new(options.platform.address, options.platform.timeout);
+    let metrics = GatewayMetrics::register(&registry);
+    let state = Rc::new(GatewayState::new(&options.instance, gateway, metrics));
+    tokio::task::spawn_local(refresh::follow_configuration(Rc::clone(&state), store.clone()));
+    tokio::task::spawn_local(refresh::follow_targets(Rc::clone(&state), store));
+    tokio::task::spawn_local(admission::review_lines(Rc::clone(&state)));
+    tokio::task::spawn_local(readiness::serve(Rc::clone(&state), readiness, health));
+    let serving = callers::serve(Rc::clone(&state), callers, daemon.draining());
+    let serving = tokio::task::spawn_local(serving);
+    let daemon = daemon.serve().wait_for_stop().await;
+    let daemon = daemon.change_context(DaemonError::Serve)?;
+    serving.await.change_context(DaemonError::Serve)?;
+    daemon.finish().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/callers.rs
@@ -0,0 +1,104 @@
+//! Connections of callers.
+
+use {
+    super::{request, state::GatewayState},
+    crate::{
+        constants::{CALLER_WRITE_TIMEOUT, MAX_CALLER_CONNECTIONS},
+        entry::callers::stall::StallGuard,
+    },
+    hyper::{server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    sassafrasslip_core::{events::LogEvent::ListenerFailed, log_event},
+    std::{convert::Infallible, pin::pin, rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore},
+        time::{Instant, sleep, timeout_at},
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Pause after a failed `accept`, which is usually a lack of file descriptors.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time after the stop signal for which new connections are accepted. The balancer asks each
+/// second and needs two misses before it sends no more.
+const NOTICE: Duration = Duration::from_millis(2600);
+
+/// Time before the supervisor's kill at which the process ends by itself.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
+
+/// Longest time to send a request head before the configuration tells another.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Accepts callers until some time after the stop signal, and waits for their requests.
+pub async fn serve(state: Rc<GatewayState>, listener: TcpListener, draining: CancellationToken) {
+    let connections = Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS));
+    let closing = CancellationToken::new();
+    let work = TaskTracker::new();
+    tokio::select! {
+        () = accept(&state, &listener, &connections, &closing, &work) => {}
+        () = notice_passed(&draining) => {}
+    }
+    // The listener goes first, so that no connection is accepted and then left unserved.
+    drop(listener);
+    closing.cancel();
+    work.close();
+    let remaining = state.options.stop_limit.saturating_sub(NOTICE + KILL_MARGIN);
+    let _ = timeout_at(Instant::now() + remaining, work.wait()).await;
+}
+
+async fn notice_passed(draining: &CancellationToken) {
+    draining.cancelled().await;
+    sleep(NOTICE).await;
+}
+
+async fn accept(
+    state: &Rc<GatewayState>,
+    listener: &TcpListener,
+    connections: &Arc<Semaphore>,
+    closing: &CancellationToken,
+    work: &TaskTracker,
+) {
+    while let Ok(permit) = Arc::clone(connections).acquire_owned().await {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (state, closing) = (Rc::clone(state), closing.clone());
+                work.spawn_local(serve_connection(state, stream, closing, permit));
+            }
+            Err(error) => {
+                log_event!(ListenerFailed, key = "caller_address", error = error);
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    state: Rc<GatewayState>,
+    stream: TcpStream,
+    closing: CancellationToken,
+    _permit: OwnedSemaphorePermit,
+) {
+    let _ = stream.set_nodelay(true);
+    let limits = state.table().map(|table| table.limits);
+    let stream = StallGuard::new(stream, CALLER_WRITE_TIMEOUT);
+    let service = service_fn(move |request| {
+        let state = Rc::clone(&state);
+        async move { Ok::<_, Infallible>(request::serve(state, request).await) }
+    });
+    // A connection may be idle for the idle timeout and then take the header timeout for a head.
+    let header_timeout = limits.map_or(HEADER_TIMEOUT, |limits| {
+        limits.header_timeout + limits.idle_timeout
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/channels.rs
@@ -0,0 +1,153 @@
+//! Channels to targets: opened, kept, and closed at once when their request is cancelled.
+
+use {
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        client::conn::http1::{self, SendRequest},
+    },
+    hyper_util::rt::TokioIo,
+    sassafrasslip_core::dispatch::{TargetKey, channel_plan::idle_limit},
+    slotmap::SecondaryMap,
+    socket2::SockRef,
+    std::{cell::RefCell, collections::VecDeque, io, net::SocketAddr, result, time::Duration},
+    tokio::{
+        net::TcpStream,
+        task::JoinHandle,
+        time::{Instant, timeout},
+    },
+};
+
+/// Time to open a channel. Targets are at most a few milliseconds away; a lost opening packet is
+/// sent again only after a second, so another target is tried first.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after which the system gives up on bytes that the target has not acknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Idle channels that are kept for each target.
+const KEPT_PER_TARGET: usize = 32;
+
+/// Channel to a target. Dropping it closes the connection at once.
+#[derive(Debug)]
+pub struct TargetChannel {
+    sender: SendRequest<Full<Bytes>>,
+    connection: JoinHandle<()>,
+    /// Whether the channel has carried a request before.
+    pub is_used: bool,
+}
+
+impl Drop for TargetChannel {
+    fn drop(&mut self) {
+        self.connection.abort();
+    }
+}
+
+/// A request that could not be exchanged.
+#[derive(Debug)]
+pub struct ChannelError {
+    /// Whether a byte of the request may have left.
+    pub may_have_left: bool,
+    /// What went wrong.
+    pub fault: String,
+}
+
+impl TargetChannel {
+    /// Opens a channel.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target does not accept it in time.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        let connection = tokio::task::spawn_local(async move {
+            // The error of a connection is also given to the request that is in flight on it.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            connection,
+            is_used: false,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the channel breaks; the error tells whether the request may have left.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> result::Result<Response<Incoming>, ChannelError> {
+        self.sender.ready().await.map_err(|error| ChannelError {
+            may_have_left: false,
+            fault: error.to_string(),
+        })?;
+        self.is_used = true;
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| {
+            let may_have_left = error.take_message().is_none();
+            let error = error.into_error();
+            let cause = std::error::Error::source(&error).map(ToString::to_string);
+            ChannelError {
+                may_have_left,
+                fault: cause.unwrap_or_else(|| error.to_string()),
+            }
+        })
+    }
+}
+
+#[derive(Debug)]
+struct IdleChannel {
+    channel: TargetChannel,
+    since: Instant,
+    limit: Duration,
+}
+
+/// Idle channels, by target.
+#[derive(Debug, Default)]
+pub struct ChannelPool {
+    idle: RefCell<SecondaryMap<TargetKey, VecDeque<IdleChannel>>>,
+}
+
+impl ChannelPool {
+    /// Takes the channel that was used last, so that the others can reach their idle limit.
+    pub fn take(&self, key: TargetKey, longest_idle: Duration) -> Option<TargetChannel> {
+        let mut idle = self.idle.borrow_mut();
+        let channels = idle.get_mut(key)?;
+        let now = Instant::now();
+        channels.retain(|idle| {
+            let limit = idle.limit.min(longest_idle);
+            now.saturating_duration_since(idle.since) < limit && !idle.channel.sender.is_closed()
+        });
+        channels.pop_back().map(|idle| idle.channel)
+    }
+
+    /// Keeps a channel whose answer has been read to its end.
+    pub fn put(&self, key: TargetKey, channel: TargetChannel, announced: Option<Duration>) {
+        let mut idle = self.idle.borrow_mut();
+        let Some(channels) = idle.entry(key).map(|entry| entry.or_default()) else {
+            return;
+        };
+        channels.push_back(IdleChannel {
+            channel,
+            since: Instant::now(),
+            limit: idle_limit(announced),
+        });
+        if channels.len() > KEPT_PER_TARGET {
+            channels.pop_front();
+        }
+    }
+
+    /// Closes the idle channels of a target.
+    pub fn close(&self, key: TargetKey) {
+        self.idle.borrow_mut().remove(key);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/readiness.rs
@@ -0,0 +1,55 @@
+//! Answers to the platform's balancer.
+
+use {
+    super::state::GatewayState,
+    crate::telemetry::HealthState,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    sassafrasslip_core::{events::LogEvent::ListenerFailed, log_event},
+    sassafrasslip_platform::READINESS_PATH,
+    std::{convert::Infallible, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, time::sleep},
+};
+
+/// Pause after a failed `accept`, which is usually a lack of file descriptors.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time that the balancer has to send a question.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers until the process ends.
+pub async fn serve(state: Rc<GatewayState>, listener: TcpListener, health: HealthState) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log_event!(ListenerFailed, key = "readiness_address", error = error);
+                sleep(ACCEPT_RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        let (state, health) = (Rc::clone(&state), health.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let is_ready = health.is_ready() && state.is_informed();
+            let response = answer(request.uri().path(), is_ready);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(READ_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::task::spawn_local(connection);
+    }
+}
+
+fn answer(path: &str, is_ready: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = match (path, is_ready) {
+        (READINESS_PATH, true) => StatusCode::OK,
+        (READINESS_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -0,0 +1,168 @@
+//! What a gateway learns from the platform's store: the operator's configuration and the targets.
+
+use {
+    super::state::GatewayState,
+    error_stack::Report,
+    sassafrasslip_core::{
+        events::LogEvent::{
+            PlatformRecovered, PlatformUnavailable, TableRejected, TargetUnreadable,
+        },
+        log_event,
+    },
+    sassafrasslip_platform::{
+        ConfigurationDocument, ConfigurationNews, StoreClient, StoreError, decode_configuration,
+        store::StoreVersion,
+    },
+    std::{collections::HashMap, rc::Rc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// Longest wait of one call for a change. A channel that has gone silent is noticed after this
+/// time, which has to stay below the 2 s in which a change must be in force everywhere.
+const CHANGE_WAIT: Duration = Duration::from_millis(1500);
+
+/// Interval at which the instance list is read. A target that leaves must get no new work 2 s
+/// after the store knows; two reads may fail before that.
+const LIST_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after an answer that is older than an earlier one.
+const STALE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Whether a dependency answers; logs when that changes.
+#[derive(Debug)]
+struct Dependency {
+    call: &'static str,
+    failing_since: Option<Instant>,
+}
+
+impl Dependency {
+    const fn new(call: &'static str) -> Self {
+        Self {
+            call,
+            failing_since: None,
+        }
+    }
+
+    /// Notes an answer; returns whether the dependency has just come back.
+    fn answered(&mut self, now: Instant) -> bool {
+        let Some(since) = self.failing_since.take() else {
+            return false;
+        };
+        let away_ms = now.saturating_duration_since(since).as_millis();
+        log_event!(PlatformRecovered, call = self.call, away_ms = away_ms);
+        true
+    }
+
+    fn failed(&mut self, report: &Report<StoreError>, now: Instant) {
+        if self.failing_since.is_none() {
+            self.failing_since = Some(now);
+            let error = report.current_context();
+            log_event!(PlatformUnavailable, call = self.call, error = error);
+        }
+    }
+}
+
+/// Follows the operator's configuration until the process ends.
+pub async fn follow_configuration(state: Rc<GatewayState>, store: StoreClient) {
+    let mut dependency = Dependency::new("configuration");
+    let mut version: Option<StoreVersion> = None;
+    let mut newest = 0;
+    loop {
+        let step = follow_step(&state, &store, version, &mut newest).await;
+        let now = Instant::now();
+        match step {
+            Ok(next) => {
+                dependency.answered(now);
+                version = next;
+            }
+            Err(report) => {
+                state.metrics.store_failures.inc();
+                dependency.failed(&report, now);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads the configuration, or waits for a change if its version is known; returns the version
+/// from which to wait on.
+async fn follow_step(
+    state: &GatewayState,
+    store: &StoreClient,
+    version: Option<StoreVersion>,
+    newest: &mut StoreVersion,
+) -> Result<Option<StoreVersion>, Report<StoreError>> {
+    let Some(version) = version else {
+        let (document, version) = store.read_configuration().await?;
+        apply_document(state, &document);
+        // While the store forgets its history, it may answer reads from the past.
+        if version < *newest {
+            sleep(STALE_PAUSE).await;
+            return Ok(None);
+        }
+        *newest = version;
+        return Ok(Some(version));
+    };
+    match store.await_configuration(version, CHANGE_WAIT).await? {
+        ConfigurationNews::Changed { document, version } => {
+            apply_document(state, &document);
+            *newest = version.max(*newest);
+            Ok(Some(version))
+        }
+        ConfigurationNews::Unchanged(next) => {
+            *newest = next.max(*newest);
+            Ok(Some(next.max(version)))
+        }
+        ConfigurationNews::HistoryLost => Ok(None),
+    }
+}
+
+fn apply_document(state: &GatewayState, document: &ConfigurationDocument) {
+    match decode_configuration(&document.document) {
+        Ok(table) => {
+            state.apply_table(table, "store");
+        }
+        Err(report) => log_event!(
+            TableRejected,
+            row_version = document.row_version,
+            error = crate::describe(&report)
+        ),
+    }
+}
+
+/// Follows the instance list until the process ends.
+pub async fn follow_targets(state: Rc<GatewayState>, store: StoreClient) {
+    let mut dependency = Dependency::new("targets");
+    let mut newest = 0;
+    let mut unreadable = HashMap::new();
+    loop {
+        let asked_at = Instant::now();
+        match store.read_targets().await {
+            Ok(listing) => {
+                let now = Instant::now();
+                if dependency.answered(now) {
+                    state.roster.borrow_mut().regained(now);
+                }
+                for (id, fault) in listing.unreadable {
+                    if unreadable.get(&id) != Some(&fault) {
+                        log_event!(TargetUnreadable, target = id, fault = fault);
+                        unreadable.insert(id, fault);
+                    }
+                }
+                if listing.version >= newest {
+                    newest = listing.version;
+                    state.apply_listing(listing.targets, asked_at, "store");
+                }
+                sleep(LIST_INTERVAL.saturating_sub(asked_at.elapsed())).await;
+            }
+            Err(report) => {
+                state.metrics.store_failures.inc();
+                dependency.failed(&report, Instant::now());
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/request.rs
@@ -0,0 +1,423 @@
+//! One request of a caller, from its head to its answer.
+
+use {
+    super::{
+        admission::{self, AdmissionRefusal, AdmissionRequest},
+        exchange::{self, AttemptError, AttemptInput, OpenAnswer},
+        relay,
+        reply::{OwnAnswer, ReplyBody},
+        state::GatewayState,
+    },
+    bytes::Bytes,
+    http::{StatusCode, header::CONTENT_LENGTH, request},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{Request, Response, body::Incoming},
+    sassafrasslip_core::{
+        dispatch::{
+            AttemptFailure, FailureContext, LineEntry, NextStep, RouteMatch, RouteMiss, RouteTable,
+            TargetKey, decide_next_step,
+        },
+        events::LogEvent::{
+            AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
+        },
+        ids::ServiceName,
+        log_event,
+    },
+    sassafrasslip_platform::{
+        CallerHead, answer::forwarded_headers, decode_caller,
+    },
+    std::{ops::ControlFlow, rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// When a caller may come back to a gateway that knows no configuration yet. A gateway learns it
+/// within a second of its start, from the store or from a peer.
+const UNINFORMED_RETURN: Duration = Duration::from_millis(700);
+
+/// When a caller may come back after its request failed at a target without having run.
+const FAILED_RETURN: Duration = Duration::from_millis(400);
+
+/// Time before the end of a caller's patience at which the gateway answers itself, so that the
+/// answer still reaches the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// Share of the time left after which a silent target of a repeatable plain request is given up
+/// for another one.
+const FIRST_TRY_SHARE: f64 = 0.45;
+
+/// Reads, routes and answers a request. If the caller leaves, this future is dropped, and with it
+/// the place in the line, the lease and the channel to the target.
+pub async fn serve(state: Rc<GatewayState>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let arrived = Instant::now();
+    let (parts, incoming) = request.into_parts();
+    let caller = decode_caller(&parts);
+    match prepare(&state, &caller, &parts, incoming).await {
+        Ok((table, matched, service, body)) => {
+            let run = RequestRun::new(state, parts, caller, body, (table, matched, service), arrived);
+            run.answer().await
+        }
+        Err(answer) => {
+            log_refusal(&caller, &answer, 0, "");
+            state.metrics.count("", "refused");
+            answer.into_response()
+        }
+    }
+}
+
+type Prepared = (Rc<RouteTable>, RouteMatch, ServiceName, Bytes);
+
+async fn prepare(
+    state: &GatewayState,
+    caller: &CallerHead,
+    parts: &request::Parts,
+    incoming: Incoming,
+) -> Result<Prepared, OwnAnswer> {
+    let limit = state.table().map_or(usize::MAX, |table| table.limits.body_bytes);
+    // The body is read before a refusal too: a connection that closes with unread bytes is reset,
+    // and the reset can overtake the refusal.
+    let body = Limited::new(incoming, limit).collect().await;
+    let body = body.map_err(|error| {
+        let status = match error.is::<http_body_util::LengthLimitError>() {
+            true => StatusCode::PAYLOAD_TOO_LARGE,
+            false => StatusCode::BAD_REQUEST,
+        };
+        OwnAnswer::rejected(status, "body cannot be read")
+    })?;
+    let table = state.table();
+    let table = table.ok_or_else(|| OwnAnswer::not_run("no configuration yet", UNINFORMED_RETURN))?;
+    let found = table.find(&caller.host, parts.uri.path(), caller.key.as_deref());
+    let matched = found.map_err(|miss| match miss {
+        RouteMiss::NoRoute => OwnAnswer::rejected(StatusCode::NOT_FOUND, "no route"),
+        RouteMiss::UnknownKey => OwnAnswer::rejected(StatusCode::UNAUTHORIZED, "unknown key"),
+    })?;
+    let service = matched.route.pick_service(rand::random()).cloned();
+    let service = service.ok_or_else(|| OwnAnswer::not_run("route has no service", FAILED_RETURN))?;
+    Ok((table, matched, service, body.to_bytes()))
+}
+
+fn log_refusal(caller: &CallerHead, answer: &OwnAnswer, waited_ms: u128, service: &str) {
+    log_event!(
+        GatewayRefused,
+        request_id = caller.request_id.as_deref().unwrap_or_default(),
+        status = answer.status.as_u16(),
+        reason = answer.reason,
+        service = service,
+        waited_ms = waited_ms,
+        retry_after_ms = answer.retry_after.unwrap_or_default().as_millis()
+    );
+}
+
+/// Request on its way.
+pub struct RequestRun {
+    pub(super) state: Rc<GatewayState>,
+    pub(super) matched: RouteMatch,
+    pub(super) service: ServiceName,
+    pub(super) arrived: Instant,
+    /// End of the caller's patience or of the route's timeout, whichever is first.
+    pub(super) deadline: Instant,
+    parts: request::Parts,
+    caller: CallerHead,
+    body: Bytes,
+    revision: u64,
+    tried: Vec<TargetKey>,
+    runs: u32,
+    arrivals: u32,
+    first_sent_at: Option<Instant>,
+    /// Whether the outcome has been logged.
+    is_settled: bool,
+}
+
+impl Drop for RequestRun {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            log_event!(
+                CallerLeft,
+                request_id = self.request_id(),
+                service = self.service,
+                attempts = self.arrivals,
+                after_ms = self.arrived.elapsed().as_millis()
+            );
+            self.state.metrics.count(self.service.as_str(), "left");
+        }
+    }
+}
+
+impl RequestRun {
+    fn new(
+        state: Rc<GatewayState>,
+        parts: request::Parts,
+        caller: CallerHead,
+        body: Bytes,
+        (table, matched, service): (Rc<RouteTable>, RouteMatch, ServiceName),
+        arrived: Instant,
+    ) -> Self {
+        let timeout = matched.route.timeout;
+        let patience = caller.patience.map_or(timeout, |patience| patience.min(timeout));
+        state.record_first_try(&service, arrived);
+        Self {
+            state,
+            service,
+            arrived,
+            deadline: arrived + patience.saturating_sub(ANSWER_MARGIN),
+            matched,
+            parts,
+            caller,
+            body,
+            revision: table.revision,
+            tried: Vec::new(),
+            runs: 0,
+            arrivals: 0,
+            first_sent_at: None,
+            is_settled: false,
+        }
+    }
+
+    /// Returns the id that the caller chose.
+    pub fn request_id(&self) -> &str {
+        self.caller.request_id.as_deref().unwrap_or_default()
+    }
+
+    /// Returns when the first attempt was sent.
+    pub fn sent_at(&self) -> Instant {
+        self.first_sent_at.unwrap_or(self.arrived)
+    }
+
+    /// Returns the number of attempts so far.
+    pub fn attempts(&self) -> u32 {
+        self.arrivals
+    }
+
+    async fn answer(mut self) -> Response<ReplyBody> {
+        let mut failure = None;
+        loop {
+            let open = match self.attempt(None).await {
+                Ok(open) => open,
+                Err(ControlFlow::Continue(())) => continue,
+                Err(ControlFlow::Break(answer)) => return self.finish_failed(answer, failure),
+            };
+            let is_stream = open.head.is_event_stream && open.parts.status.is_success();
+            if is_stream && self.matched.route.repeat.is_stream() {
+                match relay::begin(&mut self, open).await {
+                    Ok(begun) => return begun.into_response(self),
+                    Err(error) => match self.after_failure(&error) {
+                        ControlFlow::Continue(()) => continue,
+                        ControlFlow::Break(answer) => return self.finish_failed(answer, failure),
+                    },
+                }
+            }
+            match self.collect(open).await {
+                Ok(ControlFlow::Break(response)) => return response,
+                // A failure that the target itself reports may be gone at another one. It is kept
+                // for the case that no other target does better.
+                Ok(ControlFlow::Continue(response)) => failure = Some(response),
+                Err(ControlFlow::Continue(())) => {}
+                Err(ControlFlow::Break(answer)) => return self.finish_failed(answer, failure),
+            }
+        }
+    }
+
+    /// Makes one attempt, on a stream after the event `resume_after`.
+    pub(super) async fn attempt(
+        &mut self,
+        resume_after: Option<&str>,
+    ) -> Result<OpenAnswer, ControlFlow<OwnAnswer>> {
+        let request = AdmissionRequest {
+            service: self.service.clone(),
+            entry: self.line_entry(),
+            tried: self.tried.clone(),
+        };
+        let lease = match admission::acquire(&self.state, request).await {
+            Ok(lease) => lease,
+            Err(refusal) => return Err(ControlFlow::Break(self.refused(&refusal))),
+        };
+        let now = Instant::now();
+        if self.first_sent_at.is_none() {
+            self.first_sent_at = Some(now);
+            let waited = now.saturating_duration_since(self.arrived);
+            self.state.metrics.waits.observe(waited.as_secs_f64());
+        } else {
+            self.state.metrics.retries.inc();
+        }
+        self.arrivals += 1;
+        let key = lease.key;
+        self.tried.push(key);
+        let input = AttemptInput {
+            parts: &self.parts,
+            body: &self.body,
+            request_id: self.request_id(),
+            team: self.matched.team.as_ref().map(|team| team.name.as_str()),
+            repeat: self.matched.route.repeat,
+            number: self.arrivals,
+            revision: self.revision,
+            resume_after,
+            deadline: self.deadline,
+            head_until: self.head_until(now),
+        };
+        let sent = exchange::send(&self.state, lease, &input).await;
+        sent.map_err(|error| self.after_failure(&error))
+    }
+
+    fn line_entry(&self) -> LineEntry {
+        let route = &self.matched.route;
+        let reserve = self.state.first_answer_time(&self.service, route);
+        let patience_end = if route.repeat.is_stream() {
+            self.deadline.min(self.arrived + route.event_patience)
+        } else {
+            self.deadline
+        };
+        LineEntry {
+            priority: self.matched.priority(),
+            on_time_until: self.arrived + route.objective.saturating_sub(reserve),
+            start_until: patience_end - reserve.min(route.objective),
+            arrived_at: self.arrived,
+        }
+    }
+
+    fn head_until(&self, now: Instant) -> Instant {
+        let route = &self.matched.route;
+        let left = self.deadline.saturating_duration_since(now);
+        let may_repeat = route.repeat.is_repeatable() && self.runs + 1 < route.attempts;
+        if may_repeat && !route.repeat.is_stream() {
+            now + left.mul_f64(FIRST_TRY_SHARE)
+        } else {
+            self.deadline
+        }
+    }
+
+    /// Decides what follows a failed attempt.
+    pub(super) fn after_failure(&mut self, error: &AttemptError) -> ControlFlow<OwnAnswer> {
+        let now = Instant::now();
+        if error.failure == AttemptFailure::MayHaveRun {
+            self.runs += 1;
+        }
+        let target = self.tried.last().copied();
+        if let Some(key) = target.filter(|_| error.blames_target) {
+            self.state.record_failure(key, now);
+        }
+        let route = &self.matched.route;
+        let is_late = now >= self.deadline;
+        let context = FailureContext {
+            repeat: route.repeat,
+            runs: self.runs,
+            arrivals: self.arrivals,
+            run_limit: route.attempts,
+            has_budget: !is_late && self.state.try_spend_retry(&self.service, now),
+        };
+        let next = decide_next_step(error.failure, &context);
+        let name = target.and_then(|key| {
+            let roster = self.state.roster.borrow();
+            roster.get(key).map(|target| target.entry.id.clone())
+        });
+        log_event!(
+            AttemptFailed,
+            request_id = self.request_id(),
+            attempt = self.arrivals,
+            target = name.as_deref().unwrap_or("left"),
+            failure = format_args!("{:?}", error.failure),
+            fault = error.fault,
+            cause = error.faulty_target.as_deref().unwrap_or_default(),
+            next = format_args!("{next:?}")
+        );
+        match next {
+            NextStep::Retry => ControlFlow::Continue(()),
+            NextStep::RefuseNotRun => {
+                ControlFlow::Break(OwnAnswer::not_run("targets rejected it", FAILED_RETURN))
+            }
+            NextStep::ReportUnknown if is_late => {
+                let status = StatusCode::GATEWAY_TIMEOUT;
+                ControlFlow::Break(OwnAnswer::unknown(status, "no answer in time"))
+            }
+            NextStep::ReportUnknown => {
+                let status = StatusCode::BAD_GATEWAY;
+                ControlFlow::Break(OwnAnswer::unknown(status, "target broke off"))
+            }
+        }
+    }
+
+    fn refused(&self, refusal: &AdmissionRefusal) -> OwnAnswer {
+        if self.runs > 0 {
+            return OwnAnswer::unknown(StatusCode::BAD_GATEWAY, "no other target in time");
+        }
+        OwnAnswer::not_run(refusal.reason, refusal.refusal.retry_after)
+    }
+
+    async fn collect(
+        &mut self,
+        open: OpenAnswer,
+    ) -> Result<ControlFlow<Response<ReplyBody>, Response<ReplyBody>>, ControlFlow<OwnAnswer>> {
+        let key = open.lease.key;
+        let until = self.head_until(Instant::now());
+        let collected = open.collect(&self.state, until).await;
+        let (parts, body) = collected.map_err(|error| self.after_failure(&error))?;
+        let status = parts.status;
+        let mut response = Response::new(ReplyBody::Whole(Full::from(body)));
+        *response.headers_mut() = forwarded_headers(&parts.headers);
+        response.headers_mut().remove(CONTENT_LENGTH);
+        *response.status_mut() = status;
+        if status.is_server_error() && self.matched.route.repeat.is_repeatable() {
+            let error = AttemptError::broken(format!("target failed with {status}"));
+            if self.after_failure(&error).is_continue() {
+                return Ok(ControlFlow::Continue(response));
+            }
+        } else {
+            self.state.record_success(key);
+            let elapsed = self.sent_at().elapsed();
+            self.state.record_first_answer(&self.service, elapsed);
+        }
+        self.settle_answered(status);
+        Ok(ControlFlow::Break(response))
+    }
+
+    /// Logs that the caller gets an answer of a target.
+    pub(super) fn settle_answered(&mut self, status: StatusCode) {
+        self.is_settled = true;
+        let total = self.arrived.elapsed();
+        self.state.metrics.first_answer.observe(total.as_secs_f64());
+        self.state.metrics.count(self.service.as_str(), "answered");
+        let waited = self.sent_at() - self.arrived;
+        log_event!(
+            GatewayAnswered,
+            request_id = self.request_id(),
+            status = status.as_u16(),
+            route = self.matched.route.name,
+            service = self.service,
+            attempts = self.arrivals,
+            waited_ms = waited.as_millis(),
+            total_ms = total.as_millis()
+        );
+    }
+
+    /// Marks the request as settled because its outcome was logged elsewhere.
+    pub(super) fn settle(&mut self, outcome: &'static str) {
+        self.is_settled = true;
+        self.state.metrics.count(self.service.as_str(), outcome);
+    }
+
+    fn finish_failed(
+        mut self,
+        answer: OwnAnswer,
+        failure: Option<Response<ReplyBody>>,
+    ) -> Response<ReplyBody> {
+        if let Some(response) = failure {
+            self.settle_answered(response.status());
+            return response;
+        }
+        let waited_ms = self.arrived.elapsed().as_millis();
+        if answer.retry_after.is_some() {
+            self.settle("refused");
+            log_refusal(&self.caller, &answer, waited_ms, self.service.as_str());
+        } else {
+            self.settle("unknown");
+            log_event!(
+                GatewayUnknown,
+                request_id = self.request_id(),
+                status = answer.status.as_u16(),
+                reason = answer.reason,
+                service = self.service,
+                attempts = self.arrivals,
+                after_ms = waited_ms
+            );
+        }
+        answer.into_response()
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod arguments;
 pub mod constants;
 pub mod entry;
+pub mod gateway;
 pub mod lifecycle;
 pub mod link;
 pub mod listen;
@@ -77,16 +78,23 @@
         return Ok(());
     }
     telemetry::logs::start(&options.log).change_context(DaemonError::StartTelemetry)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(constants::RUNTIME_THREADS)
-        .enable_all()
-        .build()
-        .change_context(DaemonError::Serve)?;
-    runtime.block_on(async {
+    let runtime = match command {
+        // A gateway has a part of one core; a second thread would only add wake-ups.
+        DaemonCommand::Gateway(_) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    }
+    .worker_threads(constants::RUNTIME_THREADS)
+    .enable_all()
+    .build()
+    .change_context(DaemonError::Serve)?;
+    let served = runtime.block_on(async {
         match command {
             DaemonCommand::Agent(_) => agent::serve(options).await,
             DaemonCommand::Check(_) => Ok(()),
             DaemonCommand::Entry(_) => entry::serve(options).await,
+            DaemonCommand::Gateway(_) => gateway::serve(options).await,
         }
-    })
+    });
+    log::logger().flush();
+    served
 }
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod choice;
 pub mod entry;
+pub mod gateway;
 pub mod instance;
 pub mod log;
 pub mod metrics;
@@ -12,7 +13,7 @@
 pub mod units;
 
 pub use {
-    agent::AgentOptions, entry::EntryOptions, instance::InstanceOptions, log::LogOptions,
+    agent::AgentOptions, entry::EntryOptions, gateway::GatewayOptions, instance::InstanceOptions, log::LogOptions,
     metrics::MetricsOptions, platform::PlatformOptions, source::SettingsError, stop::StopOptions,
 };
 
@@ -35,6 +36,8 @@
     pub entry: Option<EntryOptions>,
     /// Section `agent`; present if the file describes an agent.
     pub agent: Option<AgentOptions>,
+    /// Section `gateway`; present if the file describes a gateway.
+    pub gateway: Option<GatewayOptions>,
     /// Section `platform`.
     pub platform: PlatformOptions,
     /// Section `metrics`.
@@ -46,7 +49,7 @@
 }
 
 const SECTIONS: &[&str] = &[
-    "instance", "entry", "agent", "platform", "metrics", "log", "stop",
+    "instance", "entry", "agent", "gateway", "platform", "metrics", "log", "stop",
 ];
 
 impl DaemonOptions {
@@ -70,6 +73,11 @@
                 let source = SettingsSource::open(&arguments.file, SECTIONS)?;
                 Self::from_source(&source)
             }
+            DaemonCommand::Gateway(arguments) => {
+                let source = Self::open(&arguments.file, &arguments.overrides)?;
+                source.require_section("gateway")?;
+                Self::from_source(&source)
+            }
             DaemonCommand::Entry(arguments) => {
                 let mut source = Self::open(&arguments.file, &arguments.overrides)?;
                 source.require_section("entry")?;
@@ -101,14 +109,16 @@
     }
 
     fn from_source(source: &SettingsSource) -> Result<Self> {
-        if !source.has_section("entry") && !source.has_section("agent") {
-            let fault = "the section `entry` or `agent` is missing".to_owned();
+        let roles = ["entry", "agent", "gateway"];
+        if !roles.iter().any(|role| source.has_section(role)) {
+            let fault = "the section `entry`, `agent` or `gateway` is missing".to_owned();
             return Err(source.file_error(fault));
         }
         Ok(Self {
             instance: source.section("instance")?,
             entry: source.optional_section("entry")?,
             agent: source.optional_section("agent")?,
+            gateway: source.optional_section("gateway")?,
             platform: source.section("platform")?,
             metrics: source.section("metrics")?,
             log: source.section("log")?,
--- /dev/null
+++ b/crates/daemon/src/options/gateway.rs
@@ -0,0 +1,60 @@
+//! Section `gateway`.
+
+use {
+    super::units::{AddressText, AddressesText, CountText, PositiveDurationText, RatioText},
+    serde::Deserialize,
+    serde_with::serde_as,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Addresses and bounds of a gateway.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayOptions {
+    /// Address for callers.
+    #[serde_as(as = "AddressText")]
+    pub caller_address: SocketAddr,
+    /// Address at which the platform's balancer asks for readiness.
+    #[serde_as(as = "AddressText")]
+    pub readiness_address: SocketAddr,
+    /// Address for snapshots that peers ask for, over TCP, and for loads that they tell, over UDP.
+    #[serde_as(as = "AddressText")]
+    pub peer_address: SocketAddr,
+    /// Peer addresses of some gateways; some may be out of date.
+    #[serde_as(as = "AddressesText")]
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Retries that all gateways may make, as a share of first tries.
+    #[serde_as(as = "RatioText")]
+    #[serde(default = "default_retry_ratio")]
+    pub retry_ratio: f64,
+    /// Retries that all gateways may make in addition, in each window.
+    #[serde_as(as = "CountText")]
+    #[serde(default = "default_retry_allowance")]
+    pub retry_allowance: u32,
+    /// Window of the retry bounds.
+    #[serde_as(as = "PositiveDurationText")]
+    #[serde(default = "default_retry_window")]
+    pub retry_window: Duration,
+    /// Time after the stop signal at which the supervisor kills the process.
+    #[serde_as(as = "PositiveDurationText")]
+    #[serde(default = "default_stop_limit")]
+    pub stop_limit: Duration,
+}
+
+fn default_retry_ratio() -> f64 {
+    0.1
+}
+
+fn default_retry_allowance() -> u32 {
+    20
+}
+
+fn default_retry_window() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn default_stop_limit() -> Duration {
+    Duration::from_secs(30)
+}
--- a/crates/daemon/src/options/units.rs
+++ b/crates/daemon/src/options/units.rs
@@ -10,6 +10,14 @@
 #[derive(Debug)]
 pub struct AddressText;
 
+/// Addresses written as `IP:PORT`, separated by commas.
+#[derive(Debug)]
+pub struct AddressesText;
+
+/// Share from 0 to 1.
+#[derive(Debug)]
+pub struct RatioText;
+
 /// Duration written as `250 ms` or `2 s`; the unit is mandatory.
 #[derive(Debug)]
 pub struct DurationText;
@@ -40,6 +48,27 @@
     }
 }
 
+impl<'de> DeserializeAs<'de, Vec<SocketAddr>> for AddressesText {
+    fn deserialize_as<D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> result::Result<Vec<SocketAddr>, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let addresses = text.split(',').map(str::trim);
+        let addresses = addresses.filter(|address| !address.is_empty());
+        let addresses: result::Result<Vec<_>, _> = addresses.map(str::parse).collect();
+        addresses.map_err(|_| de::Error::custom("expected IP:PORT, separated by commas"))
+    }
+}
+
+impl<'de> DeserializeAs<'de, f64> for RatioText {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<f64, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let ratio = text.trim().parse().ok();
+        let ratio = ratio.filter(|ratio| (0.0..=1.0).contains(ratio));
+        ratio.ok_or_else(|| de::Error::custom("expected a number from 0 to 1"))
+    }
+}
+
 impl<'de> DeserializeAs<'de, Duration> for DurationText {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<Duration, D::Error> {
         read_duration(deserializer, Duration::ZERO, "a whole number with ms or s")
