--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -6,6 +6,8 @@
 pub mod channel_plan;
 pub mod event_stream;
 pub mod failure;
+pub mod pass_governor;
+pub mod peer_table;
 pub mod retry_allowance;
 pub mod route_table;
 pub mod target_choice;
@@ -17,6 +19,8 @@
     channel_plan::{ChannelPlan, plan_channel},
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step},
+    pass_governor::{GroupLoad, PassGovernor},
+    peer_table::{PeerReport, PeerTable},
     retry_allowance::RetryAllowance,
     route_table::{
         CallerLimits, EngineProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule, RouteTable,
@@ -25,7 +29,7 @@
     target_choice::{ChoiceInput, TargetChoice, choose_target},
     target_health::TargetHealth,
     target_roster::{
-        DirectTarget, RosterChange, TargetEntry, TargetId, TargetKey, TargetRoster, TargetState,
+        DirectTarget, GroupSeat, GroupView, RosterChange, TargetEntry, TargetId, TargetKey, TargetRoster, TargetState,
     },
     waiting_line::{LineEntry, LineKey, LineRefusal, WaitingLine},
 };
--- /dev/null
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -0,0 +1,137 @@
+//! Other gateways: who they are, and what they have in flight.
+//!
+//! Load pattern: several gateways that fill the same targets. Without their figures each would
+//! take a target with full slots for an idle one.
+
+use {
+    crate::ids::ZoneName,
+    std::{
+        collections::{HashMap, HashSet},
+        net::Ipv4Addr,
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Silence after which a peer's requests in flight no longer count. Three of its slowest reports
+/// are missing by then.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
+
+/// Time for which a silent peer still counts as a sharer of the retry budget. It may only be cut
+/// off from here while it goes on sending to targets.
+const SHARER_MEMORY: Duration = Duration::from_secs(12);
+
+/// Time after which a silent peer is no longer written to.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Requests in flight at a target, which is named by the hash of its name.
+pub type PeerLoad = (u32, u32);
+
+/// What a peer has reported.
+#[derive(Clone, Debug)]
+pub struct PeerReport {
+    /// Incarnation of the peer.
+    pub incarnation: u64,
+    /// Position of the report among those of the incarnation.
+    pub sequence: u64,
+    /// Availability zone.
+    pub availability_zone: Option<ZoneName>,
+    /// Requests in flight.
+    pub loads: Vec<PeerLoad>,
+    /// Whether the peer takes no more requests.
+    pub leaving: bool,
+}
+
+#[derive(Debug)]
+struct Peer {
+    report: PeerReport,
+    heard_at: Instant,
+}
+
+/// Known gateways.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: HashMap<Ipv4Addr, Peer>,
+    /// Addresses that were named but have not reported yet, with the time until which to try.
+    candidates: HashMap<Ipv4Addr, Instant>,
+}
+
+impl PeerTable {
+    /// Adds addresses that may belong to gateways.
+    pub fn suggest(&mut self, addresses: impl IntoIterator<Item = Ipv4Addr>, now: Instant) {
+        for address in addresses {
+            if !self.peers.contains_key(&address) {
+                self.candidates.insert(address, now + FORGET_AFTER);
+            }
+        }
+    }
+
+    /// Records a report; returns whether the peer is new or has started again. An older report of
+    /// the same incarnation is dropped.
+    pub fn record(&mut self, address: Ipv4Addr, report: PeerReport, now: Instant) -> bool {
+        self.candidates.remove(&address);
+        let known = self.peers.get(&address);
+        let is_known = known.is_some_and(|peer| peer.report.incarnation == report.incarnation);
+        if is_known && known.is_some_and(|peer| peer.report.sequence >= report.sequence) {
+            return false;
+        }
+        self.peers.insert(address, Peer { report, heard_at: now });
+        !is_known
+    }
+
+    /// Forgets peers that have been silent for long, and returns them.
+    pub fn forget_silent(&mut self, now: Instant) -> Vec<Ipv4Addr> {
+        self.candidates.retain(|_, until| now < *until);
+        let silent = self.peers.iter().filter(|(_, peer)| now >= peer.heard_at + FORGET_AFTER);
+        let silent: Vec<_> = silent.map(|(address, _)| *address).collect();
+        for address in &silent {
+            self.peers.remove(address);
+        }
+        silent
+    }
+
+    /// Returns the addresses to write to: those of the zone `own` or those of all others.
+    pub fn addresses(&self, own: &ZoneName, in_zone: bool) -> Vec<Ipv4Addr> {
+        let peers = self.peers.iter().filter(|(_, peer)| {
+            (peer.report.availability_zone.as_ref() == Some(own)) == in_zone
+        });
+        let peers = peers.map(|(address, _)| *address);
+        let candidates = self.candidates.keys().copied().filter(|_| !in_zone);
+        peers.chain(candidates).collect()
+    }
+
+    /// Returns all addresses that have reported lately.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
+        let live = self.peers.iter().filter(move |(_, peer)| is_live(peer, now));
+        live.map(|(address, _)| *address)
+    }
+
+    /// Returns the addresses that have reported lately and take requests.
+    pub fn serving(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
+        let live = self.peers.iter().filter(move |(_, peer)| is_live(peer, now));
+        let serving = live.filter(|(_, peer)| !peer.report.leaving);
+        serving.map(|(address, _)| *address)
+    }
+
+    /// Returns every address that is worth telling to others.
+    pub fn known(&self) -> HashSet<Ipv4Addr> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Returns the number of gateways that may send retries now, this one included.
+    pub fn sharers(&self, now: Instant) -> u32 {
+        let sharers = self.peers.values();
+        let sharers = sharers.filter(|peer| now < peer.heard_at + SHARER_MEMORY);
+        1 + u32::try_from(sharers.count()).unwrap_or(u32::MAX - 1)
+    }
+
+    /// Returns what live peers have in flight.
+    pub fn loads(&self, now: Instant) -> impl Iterator<Item = PeerLoad> {
+        let live = self.peers.values().filter(move |peer| is_live(peer, now));
+        live.flat_map(|peer| peer.report.loads.iter().copied())
+    }
+}
+
+fn is_live(peer: &Peer, now: Instant) -> bool {
+    now < peer.heard_at + SILENCE_LIMIT
+}
--- a/crates/core/src/dispatch/route_table.rs
+++ b/crates/core/src/dispatch/route_table.rs
@@ -61,6 +61,8 @@
     pub attempts: u32,
     /// Whether a request needs no key.
     pub allows_anonymous: bool,
+    /// Longest pause between events of an answer that is on time.
+    pub pause_objective: Option<Duration>,
     /// Pause after which a caller leaves a stream, before its first event too.
     pub event_patience: Duration,
 }
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -6,7 +6,8 @@
 
 use {
     super::target_roster::{DirectTarget, TargetKey, TargetRoster, TargetState},
-    crate::ids::{ServiceName, ZoneName},
+    crate::ids::{GroupName, ServiceName, ZoneName},
+    std::collections::HashMap,
     tokio::time::Instant,
 };
 
@@ -28,8 +29,8 @@
     pub own_zone: &'a ZoneName,
     /// Targets that earlier attempts of the request have used.
     pub tried: &'a [TargetKey],
-    /// Requests that a target may have in flight from all gateways; its own figure if absent.
-    pub slots: Option<u32>,
+    /// Most requests of groups whose passes would take too long with all slots full.
+    pub group_limits: &'a HashMap<GroupName, u32>,
     /// Uniform from 0 to 1; spreads equal targets among gateways that do not know each other's
     /// latest decisions.
     pub draw: f64,
@@ -42,6 +43,8 @@
     Chosen(TargetKey),
     /// All usable targets are full.
     Full,
+    /// The groups of all targets miss a rank, so that none of them runs anything.
+    GroupBroken,
     /// Targets are known, but none is usable.
     Unusable,
     /// No target of the service is known, or all of them leave.
@@ -58,17 +61,19 @@
         let targets = roster.of_service(input.service);
         targets.filter(|(_, target)| target.entry.state == TargetState::Ready)
     };
-    let (count, usable) = ready().fold((0_usize, 0_usize), |(count, usable), (_, target)| {
-        let is_usable = target.health.is_usable(now);
-        (count + 1, usable + usize::from(is_usable))
-    });
-    if count == 0 {
+    let mut summary = ServiceSummary::default();
+    for (_, target) in ready() {
+        summary.add(target, now);
+    }
+    if summary.ready == 0 {
         return TargetChoice::Absent;
     }
-    let untried = ready().filter(|(key, target)| {
-        target.health.is_usable(now) && !input.tried.contains(key)
+    let free = ready().filter(|(key, target)| {
+        is_usable(target, now)
+            && !input.tried.contains(key)
+            && load(target) < slots(target)
+            && !summary.is_full(target, input)
     });
-    let free = untried.filter(|(_, target)| load(target) < slots(target, input));
     let free: Vec<_> = free.collect();
     let offset = (input.draw * free.len() as f64) as usize;
     let rotated = free.iter().cycle().skip(offset).take(free.len());
@@ -77,17 +82,51 @@
     });
     match best {
         Some((key, _)) => TargetChoice::Chosen(*key),
-        None if usable == 0 => TargetChoice::Unusable,
+        None if summary.usable == 0 && summary.broken > 0 => TargetChoice::GroupBroken,
+        None if summary.usable == 0 => TargetChoice::Unusable,
         None => TargetChoice::Full,
     }
 }
 
+/// Figures over all targets of a service that take new work.
+#[derive(Debug, Default)]
+struct ServiceSummary<'a> {
+    ready: usize,
+    usable: usize,
+    broken: usize,
+    group_loads: HashMap<&'a GroupName, u32>,
+}
+
+impl<'a> ServiceSummary<'a> {
+    fn add(&mut self, target: &'a DirectTarget, now: Instant) {
+        self.ready += 1;
+        self.usable += usize::from(is_usable(target, now));
+        if let Some(seat) = &target.entry.group {
+            self.broken += usize::from(!target.group_runs);
+            *self.group_loads.entry(&seat.name).or_default() += load(target);
+        }
+    }
+
+    fn is_full(&self, target: &DirectTarget, input: &ChoiceInput<'_>) -> bool {
+        let Some(seat) = &target.entry.group else {
+            return false;
+        };
+        let load = self.group_loads.get(&seat.name).copied().unwrap_or_default();
+        let limit = input.group_limits.get(&seat.name);
+        limit.is_some_and(|limit| load >= *limit)
+    }
+}
+
+fn is_usable(target: &DirectTarget, now: Instant) -> bool {
+    target.group_runs && target.health.is_usable(now)
+}
+
 fn load(target: &DirectTarget) -> u32 {
     target.own_in_flight + target.peer_in_flight
 }
 
-fn slots(target: &DirectTarget, input: &ChoiceInput<'_>) -> u32 {
-    let limit = input.slots.unwrap_or(target.entry.slots).max(1);
+fn slots(target: &DirectTarget) -> u32 {
+    let limit = target.entry.slots.max(1);
     // A target on trial gets one request of this gateway.
     if target.health.is_ejected() { 1 } else { limit }
 }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -2,10 +2,11 @@
 
 use {
     super::target_health::TargetHealth,
-    crate::ids::{ServiceName, ZoneName},
+    crate::ids::{GroupName, ServiceName, ZoneName},
     slotmap::{SlotMap, new_key_type},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::Instant,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 new_key_type! {
@@ -29,6 +30,21 @@
     Draining,
 }
 
+/// Seat of a target in a group whose ranks step together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GroupSeat {
+    /// Group.
+    pub name: GroupName,
+    /// Number of the group's formation; a rank that comes back raises it.
+    pub epoch: u64,
+    /// Rank of the target.
+    pub rank: u32,
+    /// Ranks of the group.
+    pub size: u32,
+    /// Whether all ranks are there; otherwise none runs anything.
+    pub is_open: bool,
+}
+
 /// Target as the instance list shows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetEntry {
@@ -47,6 +63,15 @@
     /// Time of its start, in milliseconds since 1970; 0 if it is not told. Another value under the
     /// same name is another process, which knows nothing of earlier requests.
     pub started_at_ms: u64,
+    /// Seat in a group, for a rank of a model engine.
+    pub group: Option<GroupSeat>,
+}
+
+impl TargetEntry {
+    /// Returns the hash by which gateways name the target to each other.
+    pub fn name_hash(&self) -> u32 {
+        xxh3_64(self.id.as_bytes()) as u32
+    }
 }
 
 /// Target with what this gateway knows about it.
@@ -60,6 +85,8 @@
     pub peer_in_flight: u32,
     /// What answers have shown.
     pub health: TargetHealth,
+    /// Whether its group runs; true for a target without a group.
+    pub group_runs: bool,
     /// When it last sent an event of a stream.
     pub progress_at: Option<Instant>,
     /// When the entry was last seen in the list.
@@ -75,6 +102,17 @@
     Draining(TargetKey),
     /// A target is gone.
     Left(TargetKey, TargetEntry),
+    /// A group has formed, or misses a rank.
+    Group(GroupName, GroupView),
+}
+
+/// State of a group as the entries of its ranks show it together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GroupView {
+    /// Number of the group's formation.
+    pub epoch: u64,
+    /// Whether all ranks are there.
+    pub is_open: bool,
 }
 
 /// All known targets.
@@ -82,6 +120,9 @@
 pub struct TargetRoster {
     targets: SlotMap<TargetKey, DirectTarget>,
     keys: HashMap<TargetId, TargetKey>,
+    groups: HashMap<GroupName, GroupView>,
+    /// Formations that answers have shown to miss a rank before the list did.
+    broken: HashMap<GroupName, u64>,
     /// Until then, a target that is missing from the list may only have lapsed.
     lapse_until: Option<Instant>,
 }
@@ -126,6 +167,18 @@
         self.targets.is_empty()
     }
 
+    /// Replaces what peers have in flight.
+    pub fn set_peer_loads(&mut self, loads: impl Iterator<Item = (u32, u32)>) {
+        let mut sums: HashMap<u32, u32> = HashMap::new();
+        for (hash, in_flight) in loads {
+            *sums.entry(hash).or_default() += in_flight;
+        }
+        for target in self.targets.values_mut() {
+            let sum = sums.get(&target.entry.name_hash());
+            target.peer_in_flight = sum.copied().unwrap_or_default();
+        }
+    }
+
     /// Notes that the list can be read again after an outage.
     pub fn regained(&mut self, now: Instant) {
         self.lapse_until = Some(now + LAPSE_GRACE);
@@ -147,9 +200,87 @@
         for key in missing {
             self.remove(key, &mut changes);
         }
+        self.review_groups(&mut changes);
         changes
     }
 
+    /// Returns the requests that all gateways have in flight at the ranks of a group.
+    pub fn group_load(&self, name: &GroupName) -> u32 {
+        let ranks = self.targets.values().filter(|target| {
+            let seat = target.entry.group.as_ref();
+            seat.is_some_and(|seat| seat.name == *name)
+        });
+        ranks.map(|target| target.own_in_flight + target.peer_in_flight).sum()
+    }
+
+    /// Returns the groups.
+    pub fn groups(&self) -> &HashMap<GroupName, GroupView> {
+        &self.groups
+    }
+
+    /// Notes that an answer has shown that the group of a target misses a rank.
+    pub fn note_broken_group(&mut self, key: TargetKey) -> Vec<RosterChange> {
+        let mut changes = Vec::new();
+        let target = self.targets.get(key);
+        if let Some(seat) = target.and_then(|target| target.entry.group.clone()) {
+            let view = self.groups.get(&seat.name);
+            let epoch = view.map_or(seat.epoch, |view| view.epoch);
+            self.broken.insert(seat.name, epoch);
+            self.review_groups(&mut changes);
+        }
+        changes
+    }
+
+    /// Notes that a target has begun to answer, which a rank of a broken group cannot.
+    pub fn note_running_group(&mut self, key: TargetKey) -> Vec<RosterChange> {
+        let mut changes = Vec::new();
+        let target = self.targets.get(key);
+        let name = target.and_then(|target| target.entry.group.as_ref());
+        if let Some(name) = name.map(|seat| seat.name.clone()) {
+            if self.broken.remove(&name).is_some() {
+                self.review_groups(&mut changes);
+            }
+        }
+        changes
+    }
+
+    /// Works out the state of each group. Entries of ranks are up to a heartbeat old, but each
+    /// formation has a higher number than the one before and never opens again once it is broken:
+    /// the newest formation counts, and it is broken if any of its ranks says so.
+    fn review_groups(&mut self, changes: &mut Vec<RosterChange>) {
+        let mut views: HashMap<&GroupName, GroupView> = HashMap::new();
+        for target in self.targets.values() {
+            let Some(seat) = &target.entry.group else {
+                continue;
+            };
+            let (epoch, is_open) = (seat.epoch, seat.is_open);
+            let view = views.entry(&seat.name).or_insert(GroupView { epoch, is_open });
+            if epoch > view.epoch {
+                *view = GroupView { epoch, is_open };
+            } else if epoch == view.epoch {
+                view.is_open &= is_open;
+            }
+        }
+        for (name, view) in &mut views {
+            if self.broken.get(*name).is_some_and(|broken| *broken >= view.epoch) {
+                view.is_open = false;
+            }
+        }
+        let views: HashMap<_, _> = views.into_iter().map(|(name, view)| (name.clone(), view)).collect();
+        for (name, view) in &views {
+            if self.groups.get(name) != Some(view) {
+                changes.push(RosterChange::Group(name.clone(), *view));
+            }
+        }
+        for target in self.targets.values_mut() {
+            let seat = target.entry.group.as_ref();
+            let view = seat.and_then(|seat| views.get(&seat.name));
+            target.group_runs = view.is_none_or(|view| view.is_open);
+        }
+        self.broken.retain(|name, _| views.contains_key(name));
+        self.groups = views;
+    }
+
     fn apply_entry(&mut self, entry: TargetEntry, now: Instant, changes: &mut Vec<RosterChange>) {
         if let Some(key) = self.find(&entry.id) {
             let known = &self.targets[key].entry;
@@ -174,6 +305,7 @@
             own_in_flight: 0,
             peer_in_flight: 0,
             health: TargetHealth::default(),
+            group_runs: true,
             progress_at: None,
             listed_at: now,
         });
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -46,6 +46,9 @@
     1004 ProcessStopped Info "process stopped";
     1005 StopGraceExceeded Error "work in flight was still running when the stop grace ended";
     1006 ListenerFailed Error "listener failed";
+    1007 LinesDropped Warn "log lines were dropped";
+    1008 SettingsReloaded Info "settings read again";
+    1009 SettingsRejected Error "changed settings cannot be used";
     2001 RouteDecided Info "routing decision";
     2002 RouteFailed Info "no target could be chosen";
     2003 RequestAnswered Info "request answered";
@@ -70,6 +73,7 @@
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
+    3004 GroupBounded Info "bound on the requests of a group";
     4001 RevisionApplied Info "configuration revision applied";
     4002 RevisionIgnored Warn "older configuration revision ignored";
     4003 ChangeAccepted Info "configuration change accepted";
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -47,7 +47,7 @@
 }
 
 /// Arguments of `gateway`.
-#[derive(Args, Debug)]
+#[derive(Args, Clone, Debug)]
 pub struct GatewayArguments {
     /// Settings file.
     #[arg(long, short = 'f', value_name = "FILE", env = "SASSAFRASSLIP_SETTINGS")]
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -5,9 +5,11 @@
 pub mod channels;
 pub mod exchange;
 pub mod metrics;
+pub mod peers;
 pub mod readiness;
 pub mod refresh;
 pub mod relay;
+pub mod reload;
 pub mod reply;
 pub mod request;
 pub mod state;
@@ -16,6 +18,7 @@
     self::{metrics::GatewayMetrics, state::GatewayState},
     crate::{
         DaemonError, Result,
+        arguments::GatewayArguments,
         lifecycle::Daemon,
         listen::bind,
         options::DaemonOptions,
@@ -24,7 +27,7 @@
     error_stack::{Report, ResultExt},
     sassafrasslip_platform::StoreClient,
     std::rc::Rc,
-    tokio::task::LocalSet,
+    tokio::{net::UdpSocket, task::LocalSet},
 };
 
 /// Runs a gateway until it is stopped.
@@ -32,11 +35,12 @@
 /// # Errors
 ///
 /// Fails if an address cannot be bound.
-pub async fn serve(options: DaemonOptions) -> Result<()> {
-    LocalSet::new().run_until(serve_local(options)).await
+pub async fn serve(options: DaemonOptions, arguments: GatewayArguments) -> Result<()> {
+    let serving = serve_local(options, arguments);
+    LocalSet::new().run_until(serving).await
 }
 
-async fn serve_local(options: DaemonOptions) -> Result<()> {
+async fn serve_local(options: DaemonOptions, arguments: GatewayArguments) -> Result<()> {
     let gateway = options.gateway.clone();
     let gateway = gateway.ok_or_else(|| Report::new(DaemonError::ReadSettings))?;
     let health = HealthState::default();
@@ -46,6 +50,10 @@
     let callers = callers.await.change_context(DaemonError::Listen)?;
     let readiness = bind("gateway", "readiness_address", gateway.readiness_address);
     let readiness = readiness.await.change_context(DaemonError::Listen)?;
+    let snapshots = bind("gateway", "peer_address", gateway.peer_address);
+    let snapshots = snapshots.await.change_context(DaemonError::Listen)?;
+    let loads = UdpSocket::bind(gateway.load_address).await;
+    let loads = loads.change_context(DaemonError::Listen)?;
     let address = options.metrics.address;
     let started = telemetry::metrics::serve(address, registry.clone(), health.clone()).await;
     started.change_context(DaemonError::Listen)?;
@@ -54,12 +62,17 @@
     let state = Rc::new(GatewayState::new(&options.instance, gateway, metrics));
     tokio::task::spawn_local(refresh::follow_configuration(Rc::clone(&state), store.clone()));
     tokio::task::spawn_local(refresh::follow_targets(Rc::clone(&state), store));
+    tokio::task::spawn_local(peers::exchange_loads(Rc::clone(&state), loads));
+    tokio::task::spawn_local(peers::serve_snapshots(Rc::clone(&state), snapshots));
+    tokio::task::spawn_local(peers::follow_peers(Rc::clone(&state)));
+    tokio::task::spawn_local(reload::follow_hangups(arguments, options));
     tokio::task::spawn_local(admission::review_lines(Rc::clone(&state)));
     tokio::task::spawn_local(readiness::serve(Rc::clone(&state), readiness, health));
     let serving = callers::serve(Rc::clone(&state), callers, daemon.draining());
     let serving = tokio::task::spawn_local(serving);
     let daemon = daemon.serve().wait_for_stop().await;
     let daemon = daemon.change_context(DaemonError::Serve)?;
+    state.leaving.set(true);
     serving.await.change_context(DaemonError::Serve)?;
     daemon.finish().await;
     Ok(())
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -24,6 +24,10 @@
 /// without any event that would cause a review.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(20);
 
+/// When a caller may come back whose service has only broken groups. A process is back after
+/// two to five seconds; callers wait for at most a third of the time they have left.
+const BROKEN_GROUP_RETURN: Duration = Duration::from_millis(2500);
+
 /// Why a request gets no target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AdmissionRefusal {
@@ -42,6 +46,8 @@
     pub entry: LineEntry,
     /// Targets that earlier attempts have used.
     pub tried: Vec<TargetKey>,
+    /// Whether the caller has the time to come back after a refusal.
+    pub can_return: bool,
 }
 
 /// Slot at a target, held while a request is in flight there.
@@ -66,6 +72,7 @@
 #[derive(Debug)]
 struct Waiter {
     tried: Vec<TargetKey>,
+    can_return: bool,
     grant: oneshot::Sender<Result<TargetLease>>,
 }
 
@@ -118,8 +125,12 @@
         let mut lines = state.lines.borrow_mut();
         let line = lines.entry(service.clone()).or_default();
         let key = line.line.push(request.entry);
-        let (tried, grant) = (request.tried, sender);
-        line.waiters.insert(key, Waiter { tried, grant });
+        let waiter = Waiter {
+            tried: request.tried,
+            can_return: request.can_return,
+            grant: sender,
+        };
+        line.waiters.insert(key, waiter);
         key
     };
     state.metrics.waiting.inc();
@@ -192,13 +203,14 @@
     now: Instant,
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
 ) {
+    let group_limits = state.group_limits.borrow();
     for key in line.line.order(now) {
         let tried = line.waiters.get(key).map(|waiter| waiter.tried.as_slice());
         let input = ChoiceInput {
             service,
             own_zone: &state.own_zone,
             tried: tried.unwrap_or_default(),
-            slots: None,
+            group_limits: &group_limits,
             draw: rand::random(),
         };
         let choice = choose_target(&state.roster.borrow(), &input, now);
@@ -210,6 +222,10 @@
                     outcomes.push((waiter, Ok(lease(state, service, target))));
                 }
             }
+            TargetChoice::GroupBroken => {
+                refuse_returning(state, line, outcomes);
+                break;
+            }
             // Only the targets that this request has tried may be free.
             TargetChoice::Full if !input.tried.is_empty() => {}
             _ => break,
@@ -217,6 +233,30 @@
     }
 }
 
+/// Refuses the requests whose callers can come back. A group forms again within seconds, which is
+/// longer than the callers of streams wait for a first event; a caller that cannot come back has
+/// nothing to lose by waiting.
+fn refuse_returning(
+    state: &GatewayState,
+    line: &mut ServiceLine,
+    outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
+) {
+    let returning = line.waiters.iter().filter(|(_, waiter)| waiter.can_return);
+    let returning: Vec<_> = returning.map(|(key, _)| key).collect();
+    for key in returning {
+        line.line.remove(key);
+        if let Some(waiter) = line.waiters.remove(key) {
+            state.metrics.waiting.dec();
+            let refusal = LineRefusal {
+                retry_after: BROKEN_GROUP_RETURN,
+                position: 0,
+            };
+            let reason = "group misses a rank";
+            outcomes.push((waiter, Err(AdmissionRefusal { refusal, reason })));
+        }
+    }
+}
+
 fn lease(state: &Rc<GatewayState>, service: &ServiceName, key: TargetKey) -> TargetLease {
     if let Some(target) = state.roster.borrow_mut().get_mut(key) {
         target.own_in_flight += 1;
--- /dev/null
+++ b/crates/daemon/src/gateway/peers.rs
@@ -0,0 +1,394 @@
+//! Exchange with other gateways: loads in datagrams, and what they know over TCP.
+//!
+//! All gateways use the same ports, so that an address alone names one.
+
+use {
+    super::state::GatewayState,
+    bytes::{Bytes, BytesMut},
+    error_stack::{Report, ResultExt},
+    futures_util::{SinkExt, StreamExt},
+    prost::Message,
+    sassafrasslip_core::{
+        dispatch::{GroupSeat, PeerReport, TargetEntry, TargetState, peer_table::PeerLoad},
+        events::LogEvent::{FrameDropped, PeerChanged},
+        log_event,
+    },
+    sassafrasslip_platform::decode_configuration,
+    sassafrasslip_proto::peer::{GroupRecord, LoadReport, Snapshot, SnapshotRequest, TargetRecord},
+    std::{
+        error::Error,
+        fmt,
+        io,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        rc::Rc,
+        result,
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream, UdpSocket},
+        time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+    },
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+};
+
+/// Result of asking a peer.
+pub type Result<T> = result::Result<T, Report<PeerError>>;
+
+/// Interval of reports within the availability zone. Gateways of a zone fill the same targets.
+const ZONE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Reports within the zone for each report to other zones, whose bytes are priced.
+const REPORTS_PER_REMOTE: u64 = 4;
+
+/// Reports within the zone after which one is sent although nothing is in flight.
+const REPORTS_PER_HEARTBEAT: u64 = 5;
+
+/// Reports within the zone for each one that names the known gateways.
+const REPORTS_PER_GOSSIP: u64 = 20;
+
+/// Largest datagram that is read, in bytes.
+const MOST_DATAGRAM_BYTES: usize = 16 * 1024;
+
+/// Largest snapshot, in bytes: a configuration of thousands of routes and the list of targets.
+const MOST_SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time to ask a peer for a snapshot.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Interval at which peers are asked while the store does not answer.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Age of the list of targets above which peers are asked. The store is read more often than that.
+const LIST_AGE_LIMIT: Duration = Duration::from_millis(1200);
+
+/// Peers that are asked at a time.
+const ASKED_PEERS: usize = 2;
+
+/// Pause after a failed `accept`.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Step at which a peer could not be asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerStep {
+    /// The connection.
+    Connect,
+    /// The exchange of question and answer.
+    Exchange,
+    /// The content of the answer.
+    Decode,
+}
+
+/// A peer that could not be asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerError {
+    /// Step.
+    pub step: PeerStep,
+    /// Peer.
+    pub peer: SocketAddr,
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "peer {}: {:?} failed", self.peer, self.step)
+    }
+}
+
+impl Error for PeerError {}
+
+/// Sends and receives load reports until the process ends.
+pub async fn exchange_loads(state: Rc<GatewayState>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    tokio::task::spawn_local(receive_reports(Rc::clone(&state), Rc::clone(&socket)));
+    let incarnation = rand::random();
+    let port = state.options.load_address.port();
+    let mut ticks = interval(ZONE_INTERVAL);
+    // After a freeze, one report tells everything.
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut was_idle = true;
+    for tick in 0_u64.. {
+        ticks.tick().await;
+        let now = Instant::now();
+        state.peers.borrow_mut().suggest(seeds(&state), now);
+        expire(&state, now);
+        let mut report = own_report(&state, incarnation, tick);
+        let is_idle = report.targets.is_empty();
+        let gossips = tick.is_multiple_of(REPORTS_PER_GOSSIP);
+        if gossips {
+            report.gateways = state.peers.borrow().known().into_iter().map(u32::from).collect();
+        }
+        // A report that says that nothing is left in flight matters as much as one of load.
+        let is_due = !(is_idle && was_idle) || tick.is_multiple_of(REPORTS_PER_HEARTBEAT);
+        was_idle = is_idle;
+        if !is_due {
+            continue;
+        }
+        let datagram = report.encode_to_vec();
+        let mut addresses = state.peers.borrow().addresses(&state.own_zone, true);
+        if tick.is_multiple_of(REPORTS_PER_REMOTE) || gossips {
+            addresses.extend(state.peers.borrow().addresses(&state.own_zone, false));
+        }
+        for address in addresses {
+            // A datagram that cannot be sent is as good as lost; the next one replaces it.
+            let _ = socket.try_send_to(&datagram, SocketAddr::from((address, port)));
+        }
+    }
+}
+
+/// Returns the addresses of the seeds without the own one.
+fn seeds(state: &GatewayState) -> Vec<Ipv4Addr> {
+    let own = state.options.peer_address.ip();
+    let seeds = state.options.seeds.iter().map(SocketAddr::ip);
+    seeds.filter(|address| *address != own).filter_map(ipv4).collect()
+}
+
+fn ipv4(address: IpAddr) -> Option<Ipv4Addr> {
+    match address {
+        IpAddr::V4(address) => Some(address),
+        IpAddr::V6(_) => None,
+    }
+}
+
+fn expire(state: &GatewayState, now: Instant) {
+    let gone = state.peers.borrow_mut().forget_silent(now);
+    for address in gone {
+        log_event!(PeerChanged, peer = address, state = "gone");
+    }
+    state.recount_peers(now);
+}
+
+fn own_report(state: &GatewayState, incarnation: u64, sequence: u64) -> LoadReport {
+    let roster = state.roster.borrow();
+    let busy = roster.iter().filter(|(_, target)| target.own_in_flight > 0);
+    let (targets, in_flight) = busy
+        .map(|(_, target)| (target.entry.name_hash(), target.own_in_flight))
+        .unzip();
+    LoadReport {
+        incarnation,
+        sequence,
+        availability_zone: state.own_zone.to_string(),
+        targets,
+        in_flight,
+        gateways: Vec::new(),
+        leaving: state.leaving.get(),
+    }
+}
+
+async fn receive_reports(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut buffer = BytesMut::zeroed(MOST_DATAGRAM_BYTES);
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // An answer that a port is closed; the peer is not there at the moment.
+                log::debug!("datagram socket: {error}");
+                sleep(ACCEPT_RETRY_PAUSE).await;
+                continue;
+            }
+        };
+        match (LoadReport::decode(&buffer[..length]), ipv4(sender.ip())) {
+            (Ok(report), Some(address)) => record(&state, address, report),
+            (Err(error), _) => log_event!(
+                FrameDropped,
+                peer = sender,
+                cause = "load report",
+                fault = error,
+                request_id = "",
+                target = ""
+            ),
+            (Ok(_), None) => {}
+        }
+    }
+}
+
+fn record(state: &GatewayState, address: Ipv4Addr, report: LoadReport) {
+    let now = Instant::now();
+    let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
+    let mut peers = state.peers.borrow_mut();
+    let own = ipv4(state.options.peer_address.ip());
+    let named = report.gateways.into_iter().map(Ipv4Addr::from);
+    peers.suggest(named.filter(|named| Some(*named) != own), now);
+    let report = PeerReport {
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        availability_zone: report.availability_zone.parse().ok(),
+        loads,
+        leaving: report.leaving,
+    };
+    let is_new = peers.record(address, report, now);
+    drop(peers);
+    if is_new {
+        log_event!(PeerChanged, peer = address, state = "joined");
+    }
+    state.recount_peers(now);
+}
+
+/// Answers peers that ask what this gateway knows.
+pub async fn serve_snapshots(state: Rc<GatewayState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let answering = answer_snapshot(Rc::clone(&state), stream);
+                tokio::task::spawn_local(async move {
+                    let answered = timeout(SNAPSHOT_TIMEOUT, answering).await;
+                    if !matches!(answered, Ok(Ok(()))) {
+                        log::debug!("peer {peer} did not take its snapshot");
+                    }
+                });
+            }
+            Err(error) => {
+                log_event!(
+                    sassafrasslip_core::events::LogEvent::ListenerFailed,
+                    key = "peer_address",
+                    error = error
+                );
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MOST_SNAPSHOT_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+async fn answer_snapshot(state: Rc<GatewayState>, stream: TcpStream) -> io::Result<()> {
+    let mut frames = framed(stream);
+    let Some(question) = frames.next().await.transpose()? else {
+        return Ok(());
+    };
+    let question = SnapshotRequest::decode(question.freeze()).map_err(io::Error::other)?;
+    let answer = own_snapshot(&state, question.revision);
+    frames.send(Bytes::from(answer.encode_to_vec())).await
+}
+
+fn own_snapshot(state: &GatewayState, known_revision: u64) -> Snapshot {
+    let revision = state.table().map_or(0, |table| table.revision);
+    let document = if revision > known_revision {
+        state.document.borrow().clone()
+    } else {
+        Bytes::new()
+    };
+    let roster = state.roster.borrow();
+    let targets = roster.iter().map(|(_, target)| target_record(&target.entry));
+    let age = state.list_age(Instant::now()).as_millis();
+    Snapshot {
+        document,
+        targets: targets.collect(),
+        list_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+    }
+}
+
+fn target_record(entry: &TargetEntry) -> TargetRecord {
+    TargetRecord {
+        id: entry.id.to_string(),
+        service: entry.service.to_string(),
+        address: entry.address.to_string(),
+        availability_zone: entry.availability_zone.to_string(),
+        slots: entry.slots,
+        draining: entry.state == TargetState::Draining,
+        started_at_ms: entry.started_at_ms,
+        group: entry.group.as_ref().map(|seat| GroupRecord {
+            name: seat.name.to_string(),
+            epoch: seat.epoch,
+            rank: seat.rank,
+            size: seat.size,
+            is_open: seat.is_open,
+        }),
+    }
+}
+
+fn target_entry(record: TargetRecord) -> Option<TargetEntry> {
+    let group = match record.group {
+        None => None,
+        Some(group) => Some(GroupSeat {
+            name: group.name.parse().ok()?,
+            epoch: group.epoch,
+            rank: group.rank,
+            size: group.size,
+            is_open: group.is_open,
+        }),
+    };
+    Some(TargetEntry {
+        id: record.id.into(),
+        service: record.service.parse().ok()?,
+        address: record.address.parse().ok()?,
+        availability_zone: record.availability_zone.parse().ok()?,
+        slots: record.slots,
+        state: if record.draining {
+            TargetState::Draining
+        } else {
+            TargetState::Ready
+        },
+        started_at_ms: record.started_at_ms,
+        group,
+    })
+}
+
+/// Asks peers while this gateway has no fresh news from the store.
+pub async fn follow_peers(state: Rc<GatewayState>) {
+    loop {
+        sleep(SNAPSHOT_INTERVAL).await;
+        let now = Instant::now();
+        if state.table().is_some() && state.list_age(now) < LIST_AGE_LIMIT {
+            continue;
+        }
+        let live: Vec<_> = state.peers.borrow().live(now).take(ASKED_PEERS).collect();
+        for address in live {
+            let peer = SocketAddr::from((address, state.options.peer_address.port()));
+            let asked = ask(&state, peer).await;
+            if let Err(report) = asked {
+                log::debug!("{}", crate::describe(&report));
+            }
+        }
+    }
+}
+
+async fn ask(state: &GatewayState, peer: SocketAddr) -> Result<()> {
+    let revision = state.table().map_or(0, |table| table.revision);
+    let asked_at = Instant::now();
+    let exchange = async {
+        let failed = |step| PeerError { step, peer };
+        let stream = TcpStream::connect(peer).await;
+        let mut frames = framed(stream.change_context(failed(PeerStep::Connect))?);
+        let question = SnapshotRequest { revision }.encode_to_vec();
+        let sent = frames.send(Bytes::from(question)).await;
+        sent.change_context(failed(PeerStep::Exchange))?;
+        let answer = frames.next().await;
+        let answer = answer.ok_or_else(|| Report::new(failed(PeerStep::Exchange)))?;
+        let answer = answer.change_context(failed(PeerStep::Exchange))?;
+        Snapshot::decode(answer.freeze()).change_context(failed(PeerStep::Decode))
+    };
+    let step = PeerStep::Exchange;
+    let answer = timeout(SNAPSHOT_TIMEOUT, exchange).await;
+    let snapshot = answer.map_err(|_| Report::new(PeerError { step, peer }))??;
+    apply_snapshot(state, snapshot, asked_at, peer)
+}
+
+fn apply_snapshot(
+    state: &GatewayState,
+    snapshot: Snapshot,
+    asked_at: Instant,
+    peer: SocketAddr,
+) -> Result<()> {
+    if !snapshot.document.is_empty() {
+        let step = PeerStep::Decode;
+        let table = decode_configuration(&snapshot.document);
+        let table = table.change_context(PeerError { step, peer })?;
+        state.apply_table(table, snapshot.document, "peer");
+    }
+    // The peer's list counts from when the peer has read it.
+    let read_at = asked_at.checked_sub(Duration::from_millis(snapshot.list_age_ms));
+    let is_newer = match (read_at, state.listed_at.get()) {
+        (Some(read_at), Some(listed_at)) => read_at > listed_at,
+        (_, None) => true,
+        (None, Some(_)) => false,
+    };
+    if is_newer && !snapshot.targets.is_empty() {
+        let entries = snapshot.targets.into_iter().filter_map(target_entry).collect();
+        state.apply_listing(entries, read_at.unwrap_or(asked_at), "peer");
+    }
+    Ok(())
+}
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -123,7 +123,7 @@
 fn apply_document(state: &GatewayState, document: &ConfigurationDocument) {
     match decode_configuration(&document.document) {
         Ok(table) => {
-            state.apply_table(table, "store");
+            state.apply_table(table, document.document.clone(), "store");
         }
         Err(report) => log_event!(
             TableRejected,
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -110,8 +110,12 @@
             let Some(open) = &mut self.open else {
                 return Err(self.cut(run, "no target"));
             };
+            let since = Instant::now();
             match next_events(run, open, &mut self.splitter).await {
-                Ok(Some(events)) => return Ok(Some(events)),
+                Ok(Some(events)) => {
+                    self.note_pause(run, since);
+                    return Ok(Some(events));
+                }
                 Ok(None) => self.is_complete = true,
                 Err(error) => self.move_on(run, &error).await?,
             }
@@ -123,6 +127,16 @@
         Ok(None)
     }
 
+    /// Notes the pause since the events before. A caller that takes its events slowly delays the
+    /// reading, so that its pauses are counted from when the reading began.
+    fn note_pause(&mut self, run: &RequestRun, since: Instant) {
+        let pause = since.elapsed();
+        let objective = run.matched.route.pause_objective;
+        if let (Some(open), Some(objective)) = (&self.open, objective) {
+            run.state.record_pause(open.lease.key, &run.service, pause, objective);
+        }
+    }
+
     /// Continues the stream at another target after its last whole event.
     async fn move_on(&mut self, run: &mut RequestRun, error: &AttemptError) -> Result<(), CutError> {
         self.open = None;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -15,7 +15,7 @@
     sassafrasslip_core::{
         dispatch::{
             AttemptFailure, FailureContext, LineEntry, NextStep, RouteMatch, RouteMiss, RouteTable,
-            TargetKey, decide_next_step,
+            TargetId, TargetKey, decide_next_step,
         },
         events::LogEvent::{
             AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
@@ -45,6 +45,9 @@
 /// for another one.
 const FIRST_TRY_SHARE: f64 = 0.45;
 
+/// Share of the route's timeout that the patience of a caller's first try has at least.
+const FIRST_TRY_PATIENCE: f64 = 0.8;
+
 /// Reads, routes and answers a request. If the caller leaves, this future is dropped, and with it
 /// the place in the line, the lease and the channel to the target.
 pub async fn serve(state: Rc<GatewayState>, request: Request<Incoming>) -> Response<ReplyBody> {
@@ -225,6 +228,7 @@
             service: self.service.clone(),
             entry: self.line_entry(),
             tried: self.tried.clone(),
+            can_return: self.can_return(),
         };
         let lease = match admission::acquire(&self.state, request).await {
             Ok(lease) => lease,
@@ -257,6 +261,14 @@
         sent.map_err(|error| self.after_failure(&error))
     }
 
+    /// Returns whether the caller of a stream has the time to come back after a refusal. A caller
+    /// that has come back already has much less than the usual patience left.
+    fn can_return(&self) -> bool {
+        let route = &self.matched.route;
+        let patience = self.caller.patience.unwrap_or(route.timeout);
+        self.arrivals == 0 && patience >= route.timeout.mul_f64(FIRST_TRY_PATIENCE)
+    }
+
     fn line_entry(&self) -> LineEntry {
         let route = &self.matched.route;
         let reserve = self.state.first_answer_time(&self.service, route);
@@ -291,8 +303,8 @@
             self.runs += 1;
         }
         let target = self.tried.last().copied();
-        if let Some(key) = target.filter(|_| error.blames_target) {
-            self.state.record_failure(key, now);
+        if let Some(key) = target {
+            self.note_failure(key, error, now);
         }
         let route = &self.matched.route;
         let is_late = now >= self.deadline;
@@ -304,10 +316,7 @@
             has_budget: !is_late && self.state.try_spend_retry(&self.service, now),
         };
         let next = decide_next_step(error.failure, &context);
-        let name = target.and_then(|key| {
-            let roster = self.state.roster.borrow();
-            roster.get(key).map(|target| target.entry.id.clone())
-        });
+        let name = target.and_then(|key| self.target_name(key));
         log_event!(
             AttemptFailed,
             request_id = self.request_id(),
@@ -334,6 +343,21 @@
         }
     }
 
+    fn note_failure(&self, key: TargetKey, error: &AttemptError, now: Instant) {
+        let own_name = self.target_name(key);
+        let is_other = |name: &String| Some(name.as_str()) != own_name.as_deref();
+        if error.faulty_target.as_ref().is_some_and(is_other) {
+            self.state.note_broken_group(key);
+        } else if error.blames_target {
+            self.state.record_failure(key, now);
+        }
+    }
+
+    fn target_name(&self, key: TargetKey) -> Option<TargetId> {
+        let roster = self.state.roster.borrow();
+        roster.get(key).map(|target| target.entry.id.clone())
+    }
+
     fn refused(&self, refusal: &AdmissionRefusal) -> OwnAnswer {
         if self.runs > 0 {
             return OwnAnswer::unknown(StatusCode::BAD_GATEWAY, "no other target in time");
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -3,12 +3,13 @@
 use {
     super::{admission::ServiceLine, channels::ChannelPool, metrics::GatewayMetrics},
     crate::options::{GatewayOptions, InstanceOptions},
+    bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            RetryAllowance, RosterChange, RouteRule, RouteTable, TargetEntry, TargetKey, TargetRoster,
+            GroupLoad, PassGovernor, PeerTable, RetryAllowance, RosterChange, RouteRule, RouteTable, TargetEntry, TargetKey, TargetRoster,
         },
-        events::LogEvent::{TableApplied, TableOutdated, TargetEjected, TargetLeft, TargetListed},
-        ids::{ServiceName, ZoneName},
+        events::LogEvent::{GroupBounded, GroupChanged, TableApplied, TableOutdated, TargetEjected, TargetLeft, TargetListed},
+        ids::{GroupName, ServiceName, ZoneName},
         log_event,
     },
     std::{
@@ -44,8 +45,15 @@
     pub waiting: Notify,
     /// When the instance list was last read.
     pub listed_at: Cell<Option<Instant>>,
-    /// Gateways that share the retry budget, this one included.
-    pub gateways: Cell<u32>,
+    /// Other gateways.
+    pub peers: RefCell<PeerTable>,
+    /// Configuration document in force, for peers that cannot reach the store.
+    pub document: RefCell<Bytes>,
+    /// Most requests of groups whose passes would take too long with all slots full.
+    pub group_limits: RefCell<HashMap<GroupName, u32>>,
+    /// Whether the process has been told to stop.
+    pub leaving: Cell<bool>,
+    governors: RefCell<HashMap<GroupName, PassGovernor>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Running mean of the time from sending a request to its first answer.
@@ -68,7 +76,11 @@
             lines: RefCell::default(),
             waiting: Notify::new(),
             listed_at: Cell::new(None),
-            gateways: Cell::new(1),
+            peers: RefCell::default(),
+            document: RefCell::default(),
+            group_limits: RefCell::default(),
+            leaving: Cell::new(false),
+            governors: RefCell::default(),
             table: RefCell::default(),
             allowances: RefCell::default(),
             first_answers: RefCell::default(),
@@ -81,7 +93,7 @@
     }
 
     /// Puts a configuration in force unless a newer one is; returns whether it is in force now.
-    pub fn apply_table(&self, table: RouteTable, source: &'static str) -> bool {
+    pub fn apply_table(&self, table: RouteTable, document: Bytes, source: &'static str) -> bool {
         let current = self.table.borrow().as_ref().map(|table| table.revision);
         if current.is_some_and(|current| current >= table.revision) {
             if current > Some(table.revision) {
@@ -103,6 +115,7 @@
         );
         self.metrics.revision.set(i64::try_from(table.revision).unwrap_or(i64::MAX));
         *self.table.borrow_mut() = Some(Rc::new(table));
+        *self.document.borrow_mut() = document;
         true
     }
 
@@ -110,8 +123,60 @@
     pub fn apply_listing(&self, entries: Vec<TargetEntry>, now: Instant, source: &'static str) {
         let changes = self.roster.borrow_mut().apply(entries, now);
         self.listed_at.set(Some(now));
+        self.recount_peers(now);
+        self.note_changes(&changes, source);
+    }
+
+    /// Works out anew what peers have in flight at each target.
+    pub fn recount_peers(&self, now: Instant) {
+        let peers = self.peers.borrow();
+        self.roster.borrow_mut().set_peer_loads(peers.loads(now));
+    }
+
+    fn note_changes(&self, changes: &[RosterChange], source: &'static str) {
         for change in changes {
-            self.note_change(&change, source);
+            self.note_change(change, source);
+        }
+    }
+
+    /// Notes that an answer has shown that the group of a target misses a rank.
+    pub fn note_broken_group(&self, key: TargetKey) {
+        let changes = self.roster.borrow_mut().note_broken_group(key);
+        self.note_changes(&changes, "answer");
+    }
+
+    /// Notes the pause between two events of a stream and works the bound of its group out anew.
+    pub fn record_pause(&self, key: TargetKey, service: &ServiceName, pause: Duration, objective: Duration) {
+        let roster = self.roster.borrow();
+        let seat = roster.get(key).and_then(|target| target.entry.group.as_ref());
+        let Some(seat) = seat else {
+            return;
+        };
+        let mut governors = self.governors.borrow_mut();
+        let governor = governors.entry(seat.name.clone()).or_default();
+        governor.record_pause(pause);
+        let table = self.table.borrow();
+        let service_rule = table.as_ref().and_then(|table| table.service(service));
+        let Some(engine) = service_rule.and_then(|rule| rule.engine.as_ref()) else {
+            return;
+        };
+        let load = GroupLoad {
+            ranks: seat.size,
+            in_flight: roster.group_load(&seat.name),
+            pause_objective: objective,
+        };
+        if !governor.update(engine, &load, Instant::now()) {
+            return;
+        }
+        log_event!(
+            GroupBounded,
+            group = seat.name,
+            limit = governor.limit().unwrap_or_default(),
+            in_flight = load.in_flight,
+            pause_ms = governor.mean_pause().unwrap_or_default().as_millis()
+        );
+        if let Some(limit) = governor.limit() {
+            self.group_limits.borrow_mut().insert(seat.name.clone(), limit);
         }
     }
 
@@ -137,6 +202,17 @@
                     log_event!(TargetLeft, target = id, state = "draining", source = source);
                 }
             }
+            RosterChange::Group(name, view) => {
+                log_event!(
+                    GroupChanged,
+                    group = name,
+                    epoch = view.epoch,
+                    state = if view.is_open { "open" } else { "broken" },
+                    source = source
+                );
+                self.governors.borrow_mut().remove(name);
+                self.group_limits.borrow_mut().remove(name);
+            }
             RosterChange::Left(key, entry) => {
                 self.channels.close(*key);
                 log_event!(TargetLeft, target = entry.id, state = "gone", source = source);
@@ -164,7 +240,7 @@
     /// Takes one retry from the budget of a service.
     pub fn try_spend_retry(&self, service: &ServiceName, now: Instant) -> bool {
         let mut allowances = self.allowances.borrow_mut();
-        let gateways = self.gateways.get();
+        let gateways = self.peers.borrow().sharers(now);
         self.allowance(&mut allowances, service).try_spend(gateways, now)
     }
 
@@ -209,9 +285,13 @@
 
     /// Records that an attempt has shown that a target works.
     pub fn record_success(&self, key: TargetKey) {
-        if let Some(target) = self.roster.borrow_mut().get_mut(key) {
+        let mut roster = self.roster.borrow_mut();
+        if let Some(target) = roster.get_mut(key) {
             target.health.record_success();
         }
+        let changes = roster.note_running_group(key);
+        drop(roster);
+        self.note_changes(&changes, "answer");
     }
 
     /// Records a failed attempt; leaves the target out for a while after several in a row.
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -18,7 +18,7 @@
 };
 
 use {
-    crate::arguments::{DaemonCommand, OverrideArguments},
+    crate::arguments::{DaemonCommand, GatewayArguments, OverrideArguments},
     error_stack::Report,
     source::SettingsSource,
     std::{path::Path, result},
@@ -73,11 +73,7 @@
                 let source = SettingsSource::open(&arguments.file, SECTIONS)?;
                 Self::from_source(&source)
             }
-            DaemonCommand::Gateway(arguments) => {
-                let source = Self::open(&arguments.file, &arguments.overrides)?;
-                source.require_section("gateway")?;
-                Self::from_source(&source)
-            }
+            DaemonCommand::Gateway(arguments) => Self::load_gateway(arguments),
             DaemonCommand::Entry(arguments) => {
                 let mut source = Self::open(&arguments.file, &arguments.overrides)?;
                 source.require_section("entry")?;
@@ -94,6 +90,17 @@
         }
     }
 
+    /// Reads and checks the settings of a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::load`].
+    pub fn load_gateway(arguments: &GatewayArguments) -> Result<Self> {
+        let source = Self::open(&arguments.file, &arguments.overrides)?;
+        source.require_section("gateway")?;
+        Self::from_source(&source)
+    }
+
     fn open(file: &Path, overrides: &OverrideArguments) -> Result<SettingsSource> {
         let mut source = SettingsSource::open(file, SECTIONS)?;
         source.set("instance", "name", overrides.instance.as_ref());
--- a/crates/daemon/src/options/gateway.rs
+++ b/crates/daemon/src/options/gateway.rs
@@ -18,10 +18,13 @@
     /// Address at which the platform's balancer asks for readiness.
     #[serde_as(as = "AddressText")]
     pub readiness_address: SocketAddr,
-    /// Address for snapshots that peers ask for, over TCP, and for loads that they tell, over UDP.
+    /// Address at which peers ask what this gateway knows, over TCP.
     #[serde_as(as = "AddressText")]
     pub peer_address: SocketAddr,
-    /// Peer addresses of some gateways; some may be out of date.
+    /// Address at which peers tell their loads, over UDP.
+    #[serde_as(as = "AddressText")]
+    pub load_address: SocketAddr,
+    /// Peer addresses of some gateways; some may be out of date. All gateways use the same ports.
     #[serde_as(as = "AddressesText")]
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
--- a/crates/daemon/src/telemetry/logs.rs
+++ b/crates/daemon/src/telemetry/logs.rs
@@ -199,11 +199,16 @@
         .dispatch(|dispatch| dispatch.append(append))
         .try_apply()
         .change_context(LogsError)?;
+    set_level(options);
+    Ok(())
+}
+
+/// Sets the lowest level of log lines.
+pub fn set_level(options: &LogOptions) {
     log::set_max_level(match options.level {
         LogLevel::Debug => LevelFilter::Debug,
         LogLevel::Error => LevelFilter::Error,
         LogLevel::Info => LevelFilter::Info,
         LogLevel::Warn => LevelFilter::Warn,
     });
-    Ok(())
 }
--- a/crates/proto/examples/generate.rs
+++ b/crates/proto/examples/generate.rs
@@ -1,9 +1,9 @@
-//! Regenerates `src/generated/` from `proto/link.proto`; run from the package's folder.
+//! Regenerates `src/generated/` from `proto/`; run from the package's folder.
 
 use std::{error::Error, path::Path};
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let descriptors = protox::compile(["proto/link.proto"], ["proto"])?;
+    let descriptors = protox::compile(["proto/link.proto", "proto/peer.proto"], ["proto"])?;
     let mut generator = prost_build::Config::new();
     generator.bytes(["."]).out_dir(Path::new("src/generated"));
     generator.compile_fds(descriptors)?;
