Place experts: small map changes that follow the demand

Cause: after each shift one expert draws 24% of a set's tokens; its rank has 3.4 to 4.4 times the mean load and each pass of the group lasts over 120 ms, so that every stream is late. Change: the gateway that places a group samples two ranks when passes are slow, adds one replica a rank, holds a pass, arms all ranks and releases. Late and lost orders are voided by a newer version and by the pass that has begun.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -6,6 +6,8 @@
 pub mod channel_plan;
 pub mod event_stream;
 pub mod failure;
+pub mod map_plan;
+pub mod map_switch;
 pub mod pass_governor;
 pub mod peer_table;
 pub mod retry_allowance;
@@ -19,11 +21,12 @@
     channel_plan::{ChannelPlan, plan_channel},
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step},
+    map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     pass_governor::{GroupLoad, PassGovernor},
     peer_table::{PeerReport, PeerTable},
     retry_allowance::RetryAllowance,
     route_table::{
-        CallerLimits, EngineProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule, RouteTable,
+        CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule, RouteTable,
         ServiceRule, TeamRule,
     },
     target_choice::{ChoiceInput, TargetChoice, choose_target},
--- /dev/null
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -0,0 +1,345 @@
+//! Change of the expert map of a group whose engines take orders directly.
+//!
+//! In every pass all ranks must use the same map, although orders are lost, carried out seconds
+//! later, or given by two placers at once. The engines guarantee four things on which the order of
+//! steps rests:
+//!
+//! - A rank that holds pass S keeps the whole group from beginning it until it is released.
+//! - A version is armed only while it is the one that the rank has prepared, and a rank that is
+//!   armed prepares nothing.
+//! - Versions only rise, and a pass that has begun is neither armed nor held any more.
+//! - An order for another formation of the group is refused.
+//!
+//! A placer holds pass S at one rank, arms every rank for S and releases the pass only after each
+//! rank has acknowledged. If that fails it disarms every rank and makes each prepare a newer
+//! version, which voids whatever arms are still under way, and releases the pass only then. Another
+//! placer that finds a group held does the same, after it has held the pass at a second rank, which
+//! the first placer does not release. Versions are unique to a placer, so that two placers never
+//! mean different maps by one version.
+
+use {
+    super::super::placement::ExpertMap,
+    std::{future::Future, sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// Pause before an order that was not answered is given again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time for arming. With every order answered it takes some milliseconds; after this time the
+/// change is undone, since a held pass stalls the group.
+const ARM_LIMIT: Duration = Duration::from_millis(700);
+
+/// Time for the hold, and for the orders that prepare a map.
+const HOLD_LIMIT: Duration = Duration::from_millis(400);
+const PREPARE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Time for undoing a change. Without it a placer would keep trying at a rank that is gone; the
+/// group forms anew without that rank, or another placer goes on.
+const UNDO_LIMIT: Duration = Duration::from_secs(20);
+
+/// Passes by which a refused hold is moved on, and how often it is.
+const HOLD_STRIDE: u64 = 3;
+const HOLD_TRIES: u32 = 3;
+
+/// Rank of a group.
+pub type RankIndex = usize;
+
+/// Order to the engine of a rank.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RankOrder {
+    /// Load the experts of a map.
+    Prepare {
+        /// Version of the map.
+        version: u64,
+        /// Map.
+        map: Arc<ExpertMap>,
+    },
+    /// Use a prepared map from a pass on.
+    Arm {
+        /// Version of the map.
+        version: u64,
+        /// First pass with the map.
+        pass: u64,
+    },
+    /// Forget what is armed.
+    Disarm {
+        /// Version that may be armed.
+        version: u64,
+    },
+    /// Keep the group from beginning a pass.
+    Hold {
+        /// Pass.
+        pass: u64,
+    },
+    /// Let the group begin a held pass.
+    Release {
+        /// Pass.
+        pass: u64,
+    },
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderOutcome {
+    /// It is carried out, or its effect is there already.
+    Accepted,
+    /// It does not fit the state of the rank.
+    Refused,
+    /// No answer; it may be carried out later.
+    Unanswered,
+}
+
+/// Way to the engines of a group. Orders carry the formation of the group.
+pub trait RankControl {
+    /// Number of ranks.
+    fn ranks(&self) -> usize;
+
+    /// Gives an order to a rank.
+    fn order(&self, rank: RankIndex, order: RankOrder) -> impl Future<Output = OrderOutcome>;
+}
+
+/// How a change ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SwitchResult {
+    /// All ranks use the new map from this pass on.
+    Switched {
+        /// First pass with the new map.
+        pass: u64,
+    },
+    /// No rank was armed.
+    NotStarted(&'static str),
+    /// Every rank uses the old map, and nothing is held.
+    Undone(&'static str),
+    /// A rank could not be reached while the change was undone; the group may still be held.
+    Abandoned,
+}
+
+/// Map that all ranks are loading or have loaded.
+#[derive(Debug)]
+pub struct PreparedMap;
+
+/// Pass that the group does not begin.
+#[derive(Debug)]
+pub struct HeldPass {
+    pass: u64,
+}
+
+/// Change of a map in one of the states of its life cycle.
+#[derive(Debug)]
+pub struct MapSwitch<'a, C, S> {
+    control: &'a C,
+    version: u64,
+    state: S,
+}
+
+impl<'a, C: RankControl> MapSwitch<'a, C, PreparedMap> {
+    /// Has every rank prepare a map; `None` if a rank refuses or does not answer.
+    pub async fn prepare(control: &'a C, map: Arc<ExpertMap>) -> Option<Self> {
+        let version = map.version();
+        let order = RankOrder::Prepare { version, map };
+        let prepared = order_all(control, &order, PREPARE_LIMIT).await;
+        let state = PreparedMap;
+        (prepared == AllOutcome::Accepted).then_some(Self {
+            control,
+            version,
+            state,
+        })
+    }
+
+    /// Holds a pass at the first rank, or a later one if that pass has begun.
+    pub async fn hold(self, pass: u64) -> Option<MapSwitch<'a, C, HeldPass>> {
+        let Self {
+            control, version, ..
+        } = self;
+        for attempt in 0..HOLD_TRIES {
+            let pass = pass + HOLD_STRIDE * u64::from(attempt);
+            let order = RankOrder::Hold { pass };
+            match order_one(control, 0, order, HOLD_LIMIT).await {
+                OrderOutcome::Accepted => {
+                    let state = HeldPass { pass };
+                    return Some(MapSwitch {
+                        control,
+                        version,
+                        state,
+                    });
+                }
+                OrderOutcome::Refused => {}
+                // The hold may still come into force. Releasing it now does no harm, and another
+                // placer releases the group if it comes later.
+                OrderOutcome::Unanswered => {
+                    let release = RankOrder::Release { pass };
+                    order_one(control, 0, release, HOLD_LIMIT).await;
+                    return None;
+                }
+            }
+        }
+        None
+    }
+}
+
+impl<C: RankControl> MapSwitch<'_, C, HeldPass> {
+    /// Arms every rank and releases the pass; undoes the change if a rank cannot be armed.
+    /// `fallback` is the map in use under a newer version.
+    pub async fn arm_and_release(self, fallback: Arc<ExpertMap>) -> SwitchResult {
+        let Self {
+            control,
+            version,
+            state: HeldPass { pass },
+        } = self;
+        let order = RankOrder::Arm { version, pass };
+        let reason = match order_all(control, &order, ARM_LIMIT).await {
+            AllOutcome::Accepted => {
+                release(control, 0, pass).await;
+                return SwitchResult::Switched { pass };
+            }
+            AllOutcome::Refused => "a rank refused to be armed",
+            AllOutcome::Unanswered => "a rank did not answer",
+        };
+        match undo(control, version, fallback, pass, &[0]).await {
+            true => SwitchResult::Undone(reason),
+            false => SwitchResult::Abandoned,
+        }
+    }
+}
+
+/// Changes the map of a group. `next_pass` estimates the pass to hold, once the experts are
+/// loaded; `loading` is the time that this takes.
+pub async fn switch_map<C: RankControl>(
+    control: &C,
+    map: Arc<ExpertMap>,
+    fallback: Arc<ExpertMap>,
+    loading: Duration,
+    next_pass: impl Future<Output = Option<u64>>,
+) -> SwitchResult {
+    let Some(prepared) = MapSwitch::prepare(control, map).await else {
+        return SwitchResult::NotStarted("a rank did not prepare the map");
+    };
+    sleep(loading).await;
+    let Some(pass) = next_pass.await else {
+        return SwitchResult::NotStarted("the map is not loaded everywhere");
+    };
+    let Some(held) = prepared.hold(pass).await else {
+        return SwitchResult::NotStarted("the pass could not be held");
+    };
+    held.arm_and_release(fallback).await
+}
+
+/// Frees a group that another placer has left held at `pass` by the rank `holder`. `version` is
+/// the highest one that a rank has armed or prepared, `fallback` the map in use under a newer one.
+pub async fn free_group<C: RankControl>(
+    control: &C,
+    holder: RankIndex,
+    pass: u64,
+    version: u64,
+    fallback: Arc<ExpertMap>,
+) -> SwitchResult {
+    let second = usize::from(holder == 0);
+    if second >= control.ranks() {
+        return SwitchResult::NotStarted("the group has one rank");
+    }
+    let order = RankOrder::Hold { pass };
+    match order_one(control, second, order, HOLD_LIMIT).await {
+        OrderOutcome::Accepted => {}
+        OrderOutcome::Refused => return SwitchResult::NotStarted("the pass has begun"),
+        OrderOutcome::Unanswered => return SwitchResult::Abandoned,
+    }
+    match undo(control, version, fallback, pass, &[holder, second]).await {
+        true => SwitchResult::Undone("left held by another placer"),
+        false => SwitchResult::Abandoned,
+    }
+}
+
+/// Disarms every rank, voids arms that are still under way, and releases the pass at the ranks in
+/// `holders`. Returns whether all of it was acknowledged.
+async fn undo<C: RankControl>(
+    control: &C,
+    version: u64,
+    fallback: Arc<ExpertMap>,
+    pass: u64,
+    holders: &[RankIndex],
+) -> bool {
+    // A rank that is not armed with this version refuses, which is as good.
+    let disarm = RankOrder::Disarm { version };
+    if order_all_settled(control, &disarm, UNDO_LIMIT).await == AllOutcome::Unanswered {
+        return false;
+    }
+    let version = fallback.version();
+    let prepare = RankOrder::Prepare {
+        version,
+        map: fallback,
+    };
+    // A rank that refuses is armed by another placer, which then releases the pass itself.
+    if order_all(control, &prepare, UNDO_LIMIT).await != AllOutcome::Accepted {
+        return false;
+    }
+    for holder in holders {
+        release(control, *holder, pass).await;
+    }
+    true
+}
+
+async fn release<C: RankControl>(control: &C, rank: RankIndex, pass: u64) {
+    order_one(control, rank, RankOrder::Release { pass }, UNDO_LIMIT).await;
+}
+
+/// What became of an order to all ranks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AllOutcome {
+    Accepted,
+    Refused,
+    Unanswered,
+}
+
+/// Gives an order to a rank until it answers.
+async fn order_one<C: RankControl>(
+    control: &C,
+    rank: RankIndex,
+    order: RankOrder,
+    limit: Duration,
+) -> OrderOutcome {
+    let until = Instant::now() + limit;
+    loop {
+        let outcome = control.order(rank, order.clone()).await;
+        if outcome != OrderOutcome::Unanswered || Instant::now() >= until {
+            return outcome;
+        }
+        sleep(REPEAT_PAUSE).await;
+    }
+}
+
+/// Gives an order to all ranks at once, until each has answered or one refuses.
+async fn order_all<C: RankControl>(control: &C, order: &RankOrder, limit: Duration) -> AllOutcome {
+    let outcomes = outcomes(control, order, limit).await;
+    if outcomes.contains(&OrderOutcome::Refused) {
+        AllOutcome::Refused
+    } else if outcomes.contains(&OrderOutcome::Unanswered) {
+        AllOutcome::Unanswered
+    } else {
+        AllOutcome::Accepted
+    }
+}
+
+/// Like [`order_all`], but a refusal settles a rank as well as an acceptance.
+async fn order_all_settled<C: RankControl>(
+    control: &C,
+    order: &RankOrder,
+    limit: Duration,
+) -> AllOutcome {
+    let outcomes = outcomes(control, order, limit).await;
+    if outcomes.contains(&OrderOutcome::Unanswered) {
+        AllOutcome::Unanswered
+    } else {
+        AllOutcome::Accepted
+    }
+}
+
+async fn outcomes<C: RankControl>(
+    control: &C,
+    order: &RankOrder,
+    limit: Duration,
+) -> Vec<OrderOutcome> {
+    let ranks = 0..control.ranks();
+    let orders = ranks.map(|rank| order_one(control, rank, order.clone(), limit));
+    futures_util::future::join_all(orders).await
+}
--- a/crates/core/src/dispatch/route_table.rs
+++ b/crates/core/src/dispatch/route_table.rs
@@ -84,6 +84,29 @@
     pub usual_prompt_tokens: f64,
     /// Mean answer length in tokens.
     pub usual_answer_tokens: f64,
+    /// Age of what an engine reports to another instance.
+    pub report_age: Duration,
+    /// Experts that the ranks of a group share; absent if the engine has none.
+    pub experts: Option<ExpertProfile>,
+}
+
+/// Experts of a model and what it costs to move one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpertProfile {
+    /// Sets of layers that are placed on their own.
+    pub sets: usize,
+    /// Experts of a set.
+    pub experts: usize,
+    /// Experts of a set that a rank has room for.
+    pub places: usize,
+    /// Experts of a set that a rank may load for one change.
+    pub loads_per_set: usize,
+    /// Share of the work for tokens that experts do.
+    pub share: f64,
+    /// Size of an expert, in bytes.
+    pub bytes: u64,
+    /// Time in which a rank loads one expert.
+    pub load_time: Duration,
 }
 
 /// One service.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -15,6 +15,7 @@
 pub mod layer_plan;
 pub mod policy;
 pub mod rank_health;
+pub mod responsive;
 
 pub use {
     bound::step_bound,
@@ -28,6 +29,7 @@
     layer_plan::LayerPlan,
     policy::PlacementPolicy,
     rank_health::{RankHealth, RankReport},
+    responsive::{ChangeBounds, plan_small_change},
 };
 
 /// Rank of a group.
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -3,9 +3,11 @@
 pub mod admission;
 pub mod callers;
 pub mod channels;
+pub mod engines;
 pub mod exchange;
 pub mod metrics;
 pub mod peers;
+pub mod placer;
 pub mod readiness;
 pub mod refresh;
 pub mod relay;
@@ -63,6 +65,7 @@
     tokio::task::spawn_local(refresh::follow_configuration(Rc::clone(&state), store.clone()));
     tokio::task::spawn_local(refresh::follow_targets(Rc::clone(&state), store));
     tokio::task::spawn_local(peers::exchange_loads(Rc::clone(&state), loads));
+    tokio::task::spawn_local(placer::follow_groups(Rc::clone(&state)));
     tokio::task::spawn_local(peers::serve_snapshots(Rc::clone(&state), snapshots));
     tokio::task::spawn_local(peers::follow_peers(Rc::clone(&state)));
     tokio::task::spawn_local(reload::follow_hangups(arguments, options));
--- a/crates/daemon/src/gateway/channels.rs
+++ b/crates/daemon/src/gateway/channels.rs
@@ -77,6 +77,11 @@
         })
     }
 
+    /// Returns whether the connection is open as far as is known.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -39,6 +39,8 @@
     pub ejections: Counter,
     /// New channels to targets.
     pub channels: Counter,
+    /// Changes of expert maps.
+    pub map_changes: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
     /// Requests that wait for a target.
@@ -63,6 +65,7 @@
             moved_streams: Counter::default(),
             ejections: Counter::default(),
             channels: Counter::default(),
+            map_changes: Counter::default(),
             store_failures: Counter::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
@@ -88,6 +91,8 @@
             registry.register("gateway_ejections", "Times that a target was left out", ejections);
             let channels = metrics.channels.clone();
             registry.register("gateway_channels", "New channels to targets", channels);
+            let changes = metrics.map_changes.clone();
+            registry.register("gateway_map_changes", "Changes of expert maps", changes);
             registry.register(
                 "gateway_store_failures",
                 "Calls to the store that failed",
--- /dev/null
+++ b/crates/daemon/src/gateway/placer.rs
@@ -0,0 +1,443 @@
+//! Placer: follows the demand for experts of the groups and changes their maps.
+//!
+//! One gateway places the experts of a group: the live one with the highest hash over group and
+//! address. Two gateways may believe to be it for a while; the order of steps of a change keeps
+//! the maps of all ranks the same even then.
+
+use {
+    super::{engines::GroupEngines, state::GatewayState},
+    sassafrasslip_core::{
+        dispatch::{
+            EngineProfile, ExpertProfile, SwitchResult, TargetState, free_group,
+            map_plan::{PlanFigures, pass_is_slow, plan_change},
+            map_switch::RankControl,
+            switch_map,
+        },
+        events::LogEvent::{GroupFreed, MapPlanned, MapSwitched},
+        ids::{GroupName, ServiceName},
+        log_event,
+        placement::{ExpertCounts, ExpertMap},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::{IpAddr, Ipv4Addr},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep, timeout},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Interval at which groups are looked at.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time over which the choices of experts are sampled. A rank makes some thousand choices in it,
+/// which show the hottest experts well.
+const SAMPLE_TIME: Duration = Duration::from_millis(180);
+
+/// Ranks whose choices are sampled. Reading counts from another instance is priced, and requests
+/// are spread evenly over the ranks.
+const SAMPLED_RANKS: usize = 2;
+
+/// Pause after a change or a sample that led to none.
+const SETTLE_TIME: Duration = Duration::from_millis(350);
+
+/// Time beyond the loading of the experts before a rank is taken to be prepared.
+const LOADING_MARGIN: Duration = Duration::from_millis(40);
+
+/// Passes between the estimate of the current pass and the one that is held.
+const PASS_MARGIN: u64 = 2;
+
+/// Silence of all ranks of a group after which it may be held by a placer that is gone. Changes
+/// hold a pass for some milliseconds.
+const STALL_LIMIT: Duration = Duration::from_millis(900);
+
+/// Additional silence for each gateway that comes before this one, so that one of them acts.
+const STALL_STEP: Duration = Duration::from_millis(500);
+
+/// Time that freeing a group may take.
+const FREE_LIMIT: Duration = Duration::from_secs(25);
+
+/// Bits of a version that are drawn at random by each placer, so that two placers never mean
+/// different maps by one version. The bits above them count.
+const VERSION_RANDOM_BITS: u32 = 16;
+
+/// What a placer knows about a group.
+#[derive(Debug)]
+struct PlacedGroup {
+    epoch: u64,
+    map: ExpertMap,
+    highest_version: u64,
+    next_review: Instant,
+}
+
+/// Groups that this gateway places, and those that are being worked on.
+#[derive(Debug, Default)]
+struct Placer {
+    groups: RefCell<HashMap<GroupName, PlacedGroup>>,
+    busy: RefCell<HashMap<GroupName, Rc<Cell<bool>>>>,
+    draw: u64,
+}
+
+/// Figures of a group at one moment.
+struct GroupSituation {
+    name: GroupName,
+    epoch: u64,
+    engines: GroupEngines,
+    in_flight: u32,
+    progress_at: Option<Instant>,
+    has_own_requests: bool,
+}
+
+/// Follows the groups until the process ends.
+pub async fn follow_groups(state: Rc<GatewayState>) {
+    let draw = rand::random::<u64>() & ((1 << VERSION_RANDOM_BITS) - 1);
+    let placer = Rc::new(Placer {
+        draw,
+        ..Placer::default()
+    });
+    loop {
+        sleep(REVIEW_INTERVAL).await;
+        let Some(table) = state.table() else {
+            continue;
+        };
+        for (service, name) in group_names(&state) {
+            let rule = table.service(&service);
+            let Some(engine) = rule.and_then(|rule| rule.engine) else {
+                continue;
+            };
+            let Some(experts) = engine.experts else {
+                continue;
+            };
+            let busy = Rc::clone(placer.busy.borrow_mut().entry(name.clone()).or_default());
+            if busy.get() {
+                continue;
+            }
+            let Some(situation) = situation(&state, &name) else {
+                continue;
+            };
+            let (state, placer) = (Rc::clone(&state), Rc::clone(&placer));
+            if is_stalled(&state, &situation) {
+                busy.set(true);
+                tokio::task::spawn_local(async move {
+                    let freeing = free_if_held(&placer, &situation, &experts);
+                    if timeout(FREE_LIMIT, freeing).await.is_err() {
+                        log::warn!("freeing group {} took too long", situation.name);
+                    }
+                    busy.set(false);
+                });
+            } else if is_placer(&state, &name) && is_due(&state, &placer, &engine, &situation) {
+                busy.set(true);
+                tokio::task::spawn_local(async move {
+                    review_group(&state, &placer, &engine, &experts, &situation).await;
+                    busy.set(false);
+                });
+            }
+        }
+    }
+}
+
+fn group_names(state: &GatewayState) -> Vec<(ServiceName, GroupName)> {
+    let roster = state.roster.borrow();
+    let mut names: Vec<_> = roster
+        .iter()
+        .filter_map(|(_, target)| {
+            let seat = target.entry.group.as_ref()?;
+            (seat.rank == 0).then(|| (target.entry.service.clone(), seat.name.clone()))
+        })
+        .collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+/// Gathers the figures of a group; `None` unless it runs and every rank is known.
+fn situation(state: &GatewayState, name: &GroupName) -> Option<GroupSituation> {
+    let roster = state.roster.borrow();
+    let view = roster.groups().get(name).copied().filter(|view| view.is_open)?;
+    let mut seats = Vec::new();
+    let mut size = 0;
+    let (mut progress_at, mut own) = (None, 0);
+    for (_, target) in roster.iter() {
+        let Some(seat) = target.entry.group.as_ref().filter(|seat| seat.name == *name) else {
+            continue;
+        };
+        if target.entry.state != TargetState::Ready {
+            return None;
+        }
+        size = seat.size;
+        own += target.own_in_flight;
+        progress_at = progress_at.max(target.progress_at);
+        seats.push((seat.rank, (target.entry.id.clone(), target.entry.address)));
+    }
+    seats.sort_by_key(|(rank, _)| *rank);
+    let is_complete = seats.iter().map(|(rank, _)| *rank).eq(0..size);
+    let seats = seats.into_iter().map(|(_, seat)| seat).collect();
+    is_complete.then(|| GroupSituation {
+        name: name.clone(),
+        epoch: view.epoch,
+        engines: GroupEngines::new(name.clone(), view.epoch, seats),
+        in_flight: roster.group_load(name),
+        progress_at,
+        has_own_requests: own > 0,
+    })
+}
+
+fn own_address(state: &GatewayState) -> Ipv4Addr {
+    match state.options.peer_address.ip() {
+        IpAddr::V4(address) => address,
+        IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+    }
+}
+
+/// Returns whether this gateway places the experts of a group.
+fn is_placer(state: &GatewayState, name: &GroupName) -> bool {
+    let weight = |address: Ipv4Addr| {
+        let mut key = name.as_str().as_bytes().to_vec();
+        key.extend(address.octets());
+        xxh3_64(&key)
+    };
+    let own = weight(own_address(state));
+    let peers = state.peers.borrow();
+    let mut others = peers.serving(Instant::now());
+    !state.leaving.get() && others.all(|address| weight(address) < own)
+}
+
+/// Returns whether the passes of a group are so slow that its map is worth a look.
+fn is_due(
+    state: &GatewayState,
+    placer: &Placer,
+    engine: &EngineProfile,
+    situation: &GroupSituation,
+) -> bool {
+    let now = Instant::now();
+    let groups = placer.groups.borrow();
+    let known = groups.get(&situation.name);
+    if known.is_some_and(|group| now < group.next_review) {
+        return false;
+    }
+    let Some(pause) = state.mean_pause(&situation.name) else {
+        return false;
+    };
+    let ranks = situation.engines.ranks();
+    pass_is_slow(engine, ranks, situation.in_flight, pause)
+}
+
+/// Samples the demand for experts and changes the map if that helps.
+async fn review_group(
+    state: &GatewayState,
+    placer: &Placer,
+    engine: &EngineProfile,
+    experts: &ExpertProfile,
+    situation: &GroupSituation,
+) {
+    let changed = change_map(state, placer, engine, experts, situation).await;
+    let mut groups = placer.groups.borrow_mut();
+    if let Some(group) = groups.get_mut(&situation.name) {
+        group.next_review = Instant::now() + SETTLE_TIME;
+        if changed.is_none() {
+            group.next_review += SETTLE_TIME;
+        }
+    }
+}
+
+async fn change_map(
+    state: &GatewayState,
+    placer: &Placer,
+    engine: &EngineProfile,
+    experts: &ExpertProfile,
+    situation: &GroupSituation,
+) -> Option<()> {
+    let engines = &situation.engines;
+    let started_at = Instant::now();
+    let map = current_map(placer, experts, situation).await?;
+    let counts = sample(engines, experts).await?;
+    let (planned, figures) = plan_change(experts, engines.ranks(), &map, &counts)?;
+    log_plan(situation, &figures, started_at);
+    let planned = planned?;
+    let version = next_version(placer, &situation.name)?;
+    let fallback_version = next_version(placer, &situation.name)?;
+    let planned = planned.with_version(version);
+    let loading = experts.load_time * u32::try_from(figures.loads_per_rank).unwrap_or(u32::MAX);
+    let next_pass = async {
+        let status = engines.status(0).await?;
+        let pause = state.mean_pause(&situation.name)?.as_secs_f64();
+        let since = engine.report_age.as_secs_f64() / pause.max(0.001);
+        Some(status.pass + since.ceil() as u64 + PASS_MARGIN)
+    };
+    let result = switch_map(
+        engines,
+        Arc::new(planned.clone()),
+        Arc::new(map.with_version(fallback_version)),
+        loading + LOADING_MARGIN,
+        next_pass,
+    )
+    .await;
+    log_event!(
+        MapSwitched,
+        group = situation.name,
+        epoch = situation.epoch,
+        version = version,
+        result = format_args!("{result:?}"),
+        took_ms = started_at.elapsed().as_millis()
+    );
+    let mut groups = placer.groups.borrow_mut();
+    match result {
+        SwitchResult::Switched { .. } => {
+            groups.get_mut(&situation.name)?.map = planned;
+            state.metrics.map_changes.inc();
+        }
+        // What the ranks hold is read anew before the next change.
+        SwitchResult::Abandoned => {
+            groups.remove(&situation.name);
+        }
+        SwitchResult::NotStarted(_) | SwitchResult::Undone(_) => {}
+    }
+    Some(())
+}
+
+fn log_plan(situation: &GroupSituation, figures: &PlanFigures, started_at: Instant) {
+    log_event!(
+        MapPlanned,
+        group = situation.name,
+        epoch = situation.epoch,
+        in_flight = situation.in_flight,
+        skew_before = format_args!("{:.2}", figures.skew_before),
+        skew_after = format_args!("{:.2}", figures.skew_after),
+        loads = figures.loads,
+        loads_per_rank = figures.loads_per_rank,
+        sampled_ms = started_at.elapsed().as_millis()
+    );
+}
+
+/// Returns the map in use. A placer that is new to a formation reads the state of the ranks: in a
+/// formation without any change the engines have dealt the experts out in turn.
+async fn current_map(
+    placer: &Placer,
+    experts: &ExpertProfile,
+    situation: &GroupSituation,
+) -> Option<ExpertMap> {
+    let known = {
+        let groups = placer.groups.borrow();
+        let group = groups.get(&situation.name);
+        let group = group.filter(|group| group.epoch == situation.epoch);
+        group.map(|group| group.map.clone())
+    };
+    if known.is_some() {
+        return known;
+    }
+    let engines = &situation.engines;
+    let statuses = all_statuses(engines).await?;
+    let highest_version = statuses.iter().map(highest_version).max()?;
+    let is_untouched = statuses.iter().all(|status| status.map == 0);
+    let map = if is_untouched {
+        ExpertMap::dealt_in_turn(0, experts.sets, experts.experts, engines.ranks())
+    } else {
+        engines.map_in_use(experts.sets, experts.experts).await?
+    };
+    let group = PlacedGroup {
+        epoch: situation.epoch,
+        map: map.clone(),
+        highest_version,
+        next_review: Instant::now(),
+    };
+    placer.groups.borrow_mut().insert(situation.name.clone(), group);
+    Some(map)
+}
+
+fn highest_version(status: &sassafrasslip_platform::RankStatus) -> u64 {
+    status.map.max(status.prepared.unwrap_or(0)).max(status.armed.unwrap_or(0))
+}
+
+async fn all_statuses(engines: &GroupEngines) -> Option<Vec<sassafrasslip_platform::RankStatus>> {
+    let ranks = 0..engines.ranks();
+    let statuses = ranks.map(|rank| engines.status(rank));
+    let statuses = futures_util::future::join_all(statuses).await;
+    statuses.into_iter().collect()
+}
+
+/// Returns a version that is higher than all known ones and unique to this placer.
+fn next_version(placer: &Placer, name: &GroupName) -> Option<u64> {
+    let mut groups = placer.groups.borrow_mut();
+    let group = groups.get_mut(name)?;
+    let count = (group.highest_version >> VERSION_RANDOM_BITS) + 1;
+    group.highest_version = (count << VERSION_RANDOM_BITS) | placer.draw;
+    Some(group.highest_version)
+}
+
+/// Samples how often the requests of some ranks choose each expert.
+async fn sample(engines: &GroupEngines, experts: &ExpertProfile) -> Option<ExpertCounts> {
+    let first = rand::random_range(0..engines.ranks());
+    let step = engines.ranks() / SAMPLED_RANKS.min(engines.ranks());
+    let ranks: Vec<_> = (0..SAMPLED_RANKS.min(engines.ranks()))
+        .map(|index| (first + index * step) % engines.ranks())
+        .collect();
+    let before = read_picks(engines, &ranks).await?;
+    sleep(SAMPLE_TIME).await;
+    let after = read_picks(engines, &ranks).await?;
+    let mut counts = ExpertCounts::new(experts.sets, experts.experts);
+    if before.len() != counts.tokens().len() || after.len() != before.len() {
+        return None;
+    }
+    for (tokens, (before, after)) in counts.tokens_mut().iter_mut().zip(before.iter().zip(&after)) {
+        *tokens = after.saturating_sub(*before) as f64;
+    }
+    (counts.total() > 0.0).then_some(counts)
+}
+
+async fn read_picks(engines: &GroupEngines, ranks: &[usize]) -> Option<Vec<u64>> {
+    let picks = ranks.iter().map(|rank| engines.picks(*rank));
+    let picks = futures_util::future::join_all(picks).await;
+    let mut sums: Vec<u64> = Vec::new();
+    for picks in picks {
+        let counts = picks?.counts;
+        sums.resize(counts.len(), 0);
+        sums.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+    }
+    Some(sums)
+}
+
+/// Returns whether no rank of a group has sent an event for long although requests run there.
+fn is_stalled(state: &GatewayState, situation: &GroupSituation) -> bool {
+    let Some(progress_at) = situation.progress_at.filter(|_| situation.has_own_requests) else {
+        return false;
+    };
+    let own = own_address(state);
+    let peers = state.peers.borrow();
+    let before = peers.serving(Instant::now()).filter(|address| *address < own).count();
+    let limit = STALL_LIMIT + STALL_STEP * u32::try_from(before).unwrap_or(u32::MAX);
+    progress_at.elapsed() >= limit
+}
+
+/// Frees a group if a placer has left it held.
+async fn free_if_held(placer: &Placer, situation: &GroupSituation, experts: &ExpertProfile) {
+    let engines = &situation.engines;
+    let freed = async {
+        let statuses = all_statuses(engines).await?;
+        let (holder, pass) = statuses.iter().enumerate().find_map(|(rank, status)| {
+            // A pass further ahead is not what the group waits for.
+            let pass = status.held.filter(|pass| *pass <= status.pass + 1)?;
+            Some((rank, pass))
+        })?;
+        let map = engines.map_in_use(experts.sets, experts.experts).await?;
+        let version = statuses.iter().filter_map(|status| status.armed.or(status.prepared)).max();
+        let highest = statuses.iter().map(highest_version).max()?;
+        let count = (highest >> VERSION_RANDOM_BITS) + 1;
+        let fallback = map.with_version((count << VERSION_RANDOM_BITS) | placer.draw);
+        let version = version.unwrap_or(highest);
+        Some(free_group(engines, holder, pass, version, Arc::new(fallback)).await)
+    };
+    if let Some(result) = freed.await {
+        placer.groups.borrow_mut().remove(&situation.name);
+        log_event!(
+            GroupFreed,
+            group = situation.name,
+            epoch = situation.epoch,
+            result = format_args!("{result:?}")
+        );
+    }
+    // Another look at the group is taken only after it had time to go on.
+    sleep(STALL_LIMIT).await;
+}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -133,6 +133,11 @@
         self.roster.borrow_mut().set_peer_loads(peers.loads(now));
     }
 
+    /// Returns the mean pause between events of a group's streams; `None` while unknown.
+    pub fn mean_pause(&self, group: &GroupName) -> Option<Duration> {
+        self.governors.borrow().get(group)?.mean_pause()
+    }
+
     fn note_changes(&self, changes: &[RosterChange], source: &'static str) {
         for change in changes {
             self.note_change(change, source);
