React faster to shifts of the demand for experts

Change: samples of 100 ms, loads bounded by 250 ms, reviews each 40 ms; undoing starts over when a late arm came in between.

--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -18,9 +18,9 @@
 /// Requests for each rank below which a pass is short however uneven the ranks are.
 const LEAST_LOAD: f64 = 2.0;
 
-/// Experts that a rank loads at most for one change. The loading time of a change is that of the
-/// rank that loads most, and demand shifts every few seconds.
-const LOADS_PER_RANK: usize = 1;
+/// Time for which a rank loads experts for one change. Demand shifts every three to four seconds,
+/// and a change takes some 300 ms beside the loading.
+const LOADING_BUDGET: Duration = Duration::from_millis(250);
 
 /// Least share by which a change shortens the work of the slowest ranks.
 const LEAST_IMPROVEMENT: f64 = 0.08;
@@ -80,7 +80,7 @@
     let weights = vec![1.0; ranks];
     let before = step_load(map, counts, &weights);
     let bounds = ChangeBounds {
-        loads_per_rank: LOADS_PER_RANK,
+        loads_per_rank: loads_within_budget(experts),
         loads_per_layer: experts.loads_per_set,
     };
     let planned = plan_small_change(&shape, map, counts, &bounds).ok()?;
@@ -101,6 +101,13 @@
     Some((planned, figures))
 }
 
+/// Returns the experts that a rank may load for one change; one at least.
+fn loads_within_budget(experts: &ExpertProfile) -> usize {
+    let load_time = experts.load_time.as_secs_f64().max(f64::MIN_POSITIVE);
+    let loads = LOADING_BUDGET.as_secs_f64() / load_time;
+    (loads.floor() as usize).max(1)
+}
+
 fn loads_per_rank(map: &ExpertMap, planned: &ExpertMap, ranks: usize) -> usize {
     let mut loads = vec![0; ranks];
     for layer in 0..map.layers() {
--- a/crates/core/src/dispatch/map_switch.rs
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -38,6 +38,9 @@
 /// group forms anew without that rank, or another placer goes on.
 const UNDO_LIMIT: Duration = Duration::from_secs(20);
 
+/// How often undoing starts over when a rank refuses to prepare.
+const UNDO_TRIES: u32 = 4;
+
 /// Passes by which a refused hold is moved on, and how often it is.
 const HOLD_STRIDE: u64 = 3;
 const HOLD_TRIES: u32 = 3;
@@ -259,24 +262,30 @@
     pass: u64,
     holders: &[RankIndex],
 ) -> bool {
-    // A rank that is not armed with this version refuses, which is as good.
     let disarm = RankOrder::Disarm { version };
-    if order_all_settled(control, &disarm, UNDO_LIMIT).await == AllOutcome::Unanswered {
-        return false;
-    }
-    let version = fallback.version();
     let prepare = RankOrder::Prepare {
-        version,
+        version: fallback.version(),
         map: fallback,
     };
-    // A rank that refuses is armed by another placer, which then releases the pass itself.
-    if order_all(control, &prepare, UNDO_LIMIT).await != AllOutcome::Accepted {
-        return false;
-    }
-    for holder in holders {
-        release(control, *holder, pass).await;
+    for _ in 0..UNDO_TRIES {
+        // A rank that is not armed with this version refuses, which is as good.
+        if order_all_settled(control, &disarm, UNDO_LIMIT).await == AllOutcome::Unanswered {
+            return false;
+        }
+        match order_all(control, &prepare, UNDO_LIMIT).await {
+            AllOutcome::Accepted => {
+                for holder in holders {
+                    release(control, *holder, pass).await;
+                }
+                return true;
+            }
+            // A late arm has come into force since, or the rank is armed by another placer, which
+            // then releases the pass itself.
+            AllOutcome::Refused => sleep(REPEAT_PAUSE).await,
+            AllOutcome::Unanswered => return false,
+        }
     }
-    true
+    false
 }
 
 async fn release<C: RankControl>(control: &C, rank: RankIndex, pass: u64) {
--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -18,8 +18,8 @@
 /// some thirty is too long, and pauses vary with the prompts that are read in between.
 const PAUSE_TARGET_SHARE: f64 = 0.84;
 
-/// Interval at which the bound is worked out anew; about two passes.
-const UPDATE_INTERVAL: Duration = Duration::from_millis(120);
+/// Interval at which the bound is worked out anew; about one pass.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(80);
 
 /// Weight of the newest interval when the bound falls and when it rises. Too many requests make
 /// all streams late, too few only let some wait.
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -27,7 +27,7 @@
 
 /// Time for an answer of an engine. It answers in some milliseconds; an order that is not answered
 /// by then is given again.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(70);
 
 /// Largest answer of an engine, in bytes: the counts of some thousand experts.
 const MOST_ANSWER_BYTES: usize = 1024 * 1024;
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -31,18 +31,18 @@
 };
 
 /// Interval at which groups are looked at.
-const REVIEW_INTERVAL: Duration = Duration::from_millis(60);
+const REVIEW_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Time over which the choices of experts are sampled. A rank makes some thousand choices in it,
 /// which show the hottest experts well.
-const SAMPLE_TIME: Duration = Duration::from_millis(180);
+const SAMPLE_TIME: Duration = Duration::from_millis(100);
 
 /// Ranks whose choices are sampled. Reading counts from another instance is priced, and requests
 /// are spread evenly over the ranks.
 const SAMPLED_RANKS: usize = 2;
 
 /// Pause after a change or a sample that led to none.
-const SETTLE_TIME: Duration = Duration::from_millis(350);
+const SETTLE_TIME: Duration = Duration::from_millis(250);
 
 /// Time beyond the loading of the experts before a rank is taken to be prepared.
 const LOADING_MARGIN: Duration = Duration::from_millis(40);
