Test map changes on a simulated group, and find a held group sooner

Cause: a placer that loses power during a change leaves the group held; the next one found it only 0.9 to 7 s after traffic had stopped, and read the maps rank by rank. Change: a new placer looks at the first two ranks at once; a stalled group is looked at after 0.6 s. The simulation (160 seeds, two placers, late orders, freezes) holds with versions of each placer's own, and finds mixed maps where two placers share versions (seeds 200 to 239, kept as a test).

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -26,13 +26,14 @@
     peer_table::{PeerReport, PeerTable},
     retry_allowance::RetryAllowance,
     route_table::{
-        CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule, RouteTable,
-        ServiceRule, TeamRule,
+        CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule,
+        RouteTable, ServiceRule, TeamRule,
     },
     target_choice::{ChoiceInput, TargetChoice, choose_target},
     target_health::TargetHealth,
     target_roster::{
-        DirectTarget, GroupSeat, GroupView, RosterChange, TargetEntry, TargetId, TargetKey, TargetRoster, TargetState,
+        DirectTarget, GroupSeat, GroupView, RosterChange, TargetEntry, TargetId, TargetKey,
+        TargetRoster, TargetState,
     },
     waiting_line::{LineEntry, LineKey, LineRefusal, WaitingLine},
 };
--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -39,12 +39,7 @@
 }
 
 /// Returns whether the passes of a group take longer than they would with even ranks.
-pub fn pass_is_slow(
-    engine: &EngineProfile,
-    ranks: usize,
-    in_flight: u32,
-    pause: Duration,
-) -> bool {
+pub fn pass_is_slow(engine: &EngineProfile, ranks: usize, in_flight: u32, pause: Duration) -> bool {
     let Some(experts) = engine.experts else {
         return false;
     };
--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -8,11 +8,7 @@
 //! A pass takes a fixed time and a part that grows with the running requests. The fixed part is
 //! known from the engine, so the pauses of a moment tell how many requests fit.
 
-use {
-    super::route_table::EngineProfile,
-    std::time::Duration,
-    tokio::time::Instant,
-};
+use {super::route_table::EngineProfile, std::time::Duration, tokio::time::Instant};
 
 /// Share of the pause objective at which the mean pause is kept. A stream is late if one pause of
 /// some thirty is too long, and pauses vary with the prompts that are read in between.
@@ -85,7 +81,9 @@
 
     /// Works the bound out anew from the pauses since the last time; returns whether it was due.
     pub fn update(&mut self, engine: &EngineProfile, load: &GroupLoad, now: Instant) -> bool {
-        let is_due = self.updated_at.is_none_or(|last| now >= last + UPDATE_INTERVAL);
+        let is_due = self
+            .updated_at
+            .is_none_or(|last| now >= last + UPDATE_INTERVAL);
         if !is_due || self.pauses < LEAST_PAUSES || load.in_flight == 0 {
             return false;
         }
@@ -101,7 +99,11 @@
         let variable = (pause - fixed).max(fixed * 0.05) / f64::from(load.in_flight);
         let fitting = ((target - fixed) / variable).clamp(least, most);
         let limit = self.limit.unwrap_or(most);
-        let weight = if fitting < limit { FALL_WEIGHT } else { RISE_WEIGHT };
+        let weight = if fitting < limit {
+            FALL_WEIGHT
+        } else {
+            RISE_WEIGHT
+        };
         self.limit = Some(limit + (fitting - limit) * weight);
         true
     }
--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -75,14 +75,23 @@
         if is_known && known.is_some_and(|peer| peer.report.sequence >= report.sequence) {
             return false;
         }
-        self.peers.insert(address, Peer { report, heard_at: now });
+        self.peers.insert(
+            address,
+            Peer {
+                report,
+                heard_at: now,
+            },
+        );
         !is_known
     }
 
     /// Forgets peers that have been silent for long, and returns them.
     pub fn forget_silent(&mut self, now: Instant) -> Vec<Ipv4Addr> {
         self.candidates.retain(|_, until| now < *until);
-        let silent = self.peers.iter().filter(|(_, peer)| now >= peer.heard_at + FORGET_AFTER);
+        let silent = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now >= peer.heard_at + FORGET_AFTER);
         let silent: Vec<_> = silent.map(|(address, _)| *address).collect();
         for address in &silent {
             self.peers.remove(address);
@@ -92,9 +101,10 @@
 
     /// Returns the addresses to write to: those of the zone `own` or those of all others.
     pub fn addresses(&self, own: &ZoneName, in_zone: bool) -> Vec<Ipv4Addr> {
-        let peers = self.peers.iter().filter(|(_, peer)| {
-            (peer.report.availability_zone.as_ref() == Some(own)) == in_zone
-        });
+        let peers = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| (peer.report.availability_zone.as_ref() == Some(own)) == in_zone);
         let peers = peers.map(|(address, _)| *address);
         let candidates = self.candidates.keys().copied().filter(|_| !in_zone);
         peers.chain(candidates).collect()
@@ -102,13 +112,19 @@
 
     /// Returns all addresses that have reported lately.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
-        let live = self.peers.iter().filter(move |(_, peer)| is_live(peer, now));
+        let live = self
+            .peers
+            .iter()
+            .filter(move |(_, peer)| is_live(peer, now));
         live.map(|(address, _)| *address)
     }
 
     /// Returns the addresses that have reported lately and take requests.
     pub fn serving(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
-        let live = self.peers.iter().filter(move |(_, peer)| is_live(peer, now));
+        let live = self
+            .peers
+            .iter()
+            .filter(move |(_, peer)| is_live(peer, now));
         let serving = live.filter(|(_, peer)| !peer.report.leaving);
         serving.map(|(address, _)| *address)
     }
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -52,11 +52,7 @@
 }
 
 /// Chooses the target for a request.
-pub fn choose_target(
-    roster: &TargetRoster,
-    input: &ChoiceInput<'_>,
-    now: Instant,
-) -> TargetChoice {
+pub fn choose_target(roster: &TargetRoster, input: &ChoiceInput<'_>, now: Instant) -> TargetChoice {
     let ready = || {
         let targets = roster.of_service(input.service);
         targets.filter(|(_, target)| target.entry.state == TargetState::Ready)
@@ -77,9 +73,8 @@
     let free: Vec<_> = free.collect();
     let offset = (input.draw * free.len() as f64) as usize;
     let rotated = free.iter().cycle().skip(offset).take(free.len());
-    let best = rotated.min_by(|(_, left), (_, right)| {
-        score(left, input).total_cmp(&score(right, input))
-    });
+    let best =
+        rotated.min_by(|(_, left), (_, right)| score(left, input).total_cmp(&score(right, input)));
     match best {
         Some((key, _)) => TargetChoice::Chosen(*key),
         None if summary.usable == 0 && summary.broken > 0 => TargetChoice::GroupBroken,
@@ -111,7 +106,11 @@
         let Some(seat) = &target.entry.group else {
             return false;
         };
-        let load = self.group_loads.get(&seat.name).copied().unwrap_or_default();
+        let load = self
+            .group_loads
+            .get(&seat.name)
+            .copied()
+            .unwrap_or_default();
         let limit = input.group_limits.get(&seat.name);
         limit.is_some_and(|limit| load >= *limit)
     }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -210,7 +210,9 @@
             let seat = target.entry.group.as_ref();
             seat.is_some_and(|seat| seat.name == *name)
         });
-        ranks.map(|target| target.own_in_flight + target.peer_in_flight).sum()
+        ranks
+            .map(|target| target.own_in_flight + target.peer_in_flight)
+            .sum()
     }
 
     /// Returns the groups.
@@ -254,7 +256,9 @@
                 continue;
             };
             let (epoch, is_open) = (seat.epoch, seat.is_open);
-            let view = views.entry(&seat.name).or_insert(GroupView { epoch, is_open });
+            let view = views
+                .entry(&seat.name)
+                .or_insert(GroupView { epoch, is_open });
             if epoch > view.epoch {
                 *view = GroupView { epoch, is_open };
             } else if epoch == view.epoch {
@@ -262,11 +266,18 @@
             }
         }
         for (name, view) in &mut views {
-            if self.broken.get(*name).is_some_and(|broken| *broken >= view.epoch) {
+            if self
+                .broken
+                .get(*name)
+                .is_some_and(|broken| *broken >= view.epoch)
+            {
                 view.is_open = false;
             }
         }
-        let views: HashMap<_, _> = views.into_iter().map(|(name, view)| (name.clone(), view)).collect();
+        let views: HashMap<_, _> = views
+            .into_iter()
+            .map(|(name, view)| (name.clone(), view))
+            .collect();
         for (name, view) in &views {
             if self.groups.get(name) != Some(view) {
                 changes.push(RosterChange::Group(name.clone(), *view));
--- a/crates/core/src/dispatch/waiting_line.rs
+++ b/crates/core/src/dispatch/waiting_line.rs
@@ -116,7 +116,13 @@
             let starts_at = now + Duration::from_secs_f64(wait.min(3600.0));
             if starts_at > entry.start_until {
                 let retry_after = self.retry_after(position);
-                refused.push((key, LineRefusal { retry_after, position }));
+                refused.push((
+                    key,
+                    LineRefusal {
+                        retry_after,
+                        position,
+                    },
+                ));
             } else {
                 position += 1;
             }
--- a/crates/core/src/placement/responsive.rs
+++ b/crates/core/src/placement/responsive.rs
@@ -61,7 +61,9 @@
     }
 
     fn holds(&self, rank: usize, expert: usize) -> bool {
-        self.holders[expert].iter().any(|holder| usize::from(*holder) == rank)
+        self.holders[expert]
+            .iter()
+            .any(|holder| usize::from(*holder) == rank)
     }
 
     fn share(&self, expert: usize) -> f64 {
@@ -192,9 +194,8 @@
     let mean = draft.loads.iter().sum::<f64>() / shape.ranks as f64;
     let on_hot = (0..draft.holders.len()).filter(|expert| draft.holds(hot, *expert));
     let expert = on_hot.max_by(|left, right| draft.share(*left).total_cmp(&draft.share(*right)))?;
-    let receivers = (0..shape.ranks).filter(|rank| {
-        !draft.holds(*rank, expert) && loaded.allows(*rank, layer, bounds)
-    });
+    let receivers = (0..shape.ranks)
+        .filter(|rank| !draft.holds(*rank, expert) && loaded.allows(*rank, layer, bounds));
     let options = receivers.filter_map(|to| {
         let dropped = if draft.held[to] < shape.slots {
             None
--- /dev/null
+++ b/crates/core/tests/map_switch.rs
@@ -0,0 +1,415 @@
+//! Guards the rule that all ranks of a group use the same expert map in every pass, with orders
+//! that are lost or carried out late, placers that freeze, and two placers at once.
+
+use {
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    sassafrasslip_core::{
+        dispatch::{
+            OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, map_switch::RankIndex,
+            switch_map,
+        },
+        placement::ExpertMap,
+    },
+    sassafrasslip_testkit::test_cases,
+    std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        task::LocalSet,
+        time::{sleep, timeout},
+    },
+};
+
+const RANKS: usize = 6;
+const PASS_TIME: Duration = Duration::from_millis(60);
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(70);
+const LOAD_TIME: Duration = Duration::from_millis(150);
+/// Distance of two versions of one placer; the lower bits tell placers apart.
+const VERSION_STEP: u64 = 16;
+
+/// State of an engine, as far as map changes are concerned.
+#[derive(Clone, Debug, Default)]
+struct Rank {
+    /// Version and content of the map in use.
+    map: (u64, u64),
+    prepared: Option<(u64, u64)>,
+    highest: u64,
+    armed: Option<(u64, u64)>,
+    held: Option<u64>,
+}
+
+/// Group of engines that behaves as the engines were seen to behave.
+#[derive(Debug)]
+struct Group {
+    ranks: Vec<Rank>,
+    pass: u64,
+    violations: Vec<String>,
+}
+
+impl Group {
+    fn new() -> Rc<RefCell<Self>> {
+        Rc::new(RefCell::new(Self {
+            ranks: vec![Rank::default(); RANKS],
+            pass: 0,
+            violations: Vec::new(),
+        }))
+    }
+
+    fn apply(&mut self, rank: RankIndex, order: &RankOrder, content: u64) -> OrderOutcome {
+        let begun = self.pass;
+        let rank = &mut self.ranks[rank];
+        let accepted = match order {
+            RankOrder::Prepare { version, .. } => {
+                let known = rank
+                    .prepared
+                    .is_some_and(|(prepared, _)| prepared == *version)
+                    || rank.map.0 == *version;
+                if known {
+                    true
+                } else if rank.armed.is_some() || *version <= rank.highest {
+                    false
+                } else {
+                    rank.highest = *version;
+                    rank.prepared = Some((*version, content));
+                    true
+                }
+            }
+            RankOrder::Arm { version, pass } => {
+                let prepared = rank
+                    .prepared
+                    .is_some_and(|(prepared, _)| prepared == *version);
+                let fits = prepared && *pass > begun;
+                if fits {
+                    rank.armed = Some((*version, *pass));
+                }
+                fits
+            }
+            RankOrder::Disarm { version } => {
+                if rank.map.0 == *version {
+                    false
+                } else {
+                    rank.armed = rank.armed.filter(|(armed, _)| armed != version);
+                    true
+                }
+            }
+            RankOrder::Hold { pass } => {
+                let fits = *pass > begun && rank.held.is_none_or(|held| held == *pass);
+                if fits {
+                    rank.held = Some(*pass);
+                }
+                fits
+            }
+            RankOrder::Release { pass } => {
+                if rank.held == Some(*pass) {
+                    rank.held = None;
+                }
+                true
+            }
+        };
+        if accepted {
+            OrderOutcome::Accepted
+        } else {
+            OrderOutcome::Refused
+        }
+    }
+
+    fn begin_pass(&mut self) {
+        let next = self.pass + 1;
+        if self.ranks.iter().any(|rank| rank.held == Some(next)) {
+            return;
+        }
+        self.pass = next;
+        for rank in &mut self.ranks {
+            if let Some((version, _)) = rank.armed.filter(|(_, pass)| *pass == next) {
+                rank.map = rank
+                    .prepared
+                    .filter(|(prepared, _)| *prepared == version)
+                    .unwrap();
+                rank.prepared = None;
+                rank.armed = None;
+            }
+        }
+        let maps: BTreeSet<_> = self.ranks.iter().map(|rank| rank.map).collect();
+        if maps.len() > 1 {
+            self.violations
+                .push(format!("pass {next} begins with the maps {maps:?}"));
+        }
+    }
+
+    fn is_held(&self) -> bool {
+        self.ranks.iter().any(|rank| rank.held.is_some())
+    }
+}
+
+/// Way of one placer to the group.
+struct Placer {
+    group: Rc<RefCell<Group>>,
+    random: RefCell<StdRng>,
+    /// Share of orders that are carried out late and not answered.
+    late_share: f64,
+    /// Share of orders after which the placer stands still for seconds.
+    freeze_share: f64,
+    /// Ranks that never answer.
+    silent: Vec<RankIndex>,
+    /// Tells the maps of placers apart.
+    content: u64,
+}
+
+impl RankControl for Placer {
+    fn ranks(&self) -> usize {
+        RANKS
+    }
+
+    async fn order(&self, rank: RankIndex, order: RankOrder) -> OrderOutcome {
+        if self.silent.contains(&rank) {
+            sleep(ANSWER_TIMEOUT).await;
+            return OrderOutcome::Unanswered;
+        }
+        let (is_late, freezes, delay) = {
+            let mut random = self.random.borrow_mut();
+            let delay = Duration::from_millis(random.random_range(2_000..12_000));
+            (
+                random.random_bool(self.late_share),
+                random.random_bool(self.freeze_share),
+                delay,
+            )
+        };
+        if freezes {
+            sleep(delay / 3).await;
+        }
+        if is_late {
+            let (group, content) = (Rc::clone(&self.group), self.content);
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                group.borrow_mut().apply(rank, &order, content);
+            });
+            sleep(ANSWER_TIMEOUT).await;
+            return OrderOutcome::Unanswered;
+        }
+        sleep(ANSWER_TIME).await;
+        self.group.borrow_mut().apply(rank, &order, self.content)
+    }
+}
+
+fn placer(group: &Rc<RefCell<Group>>, seed: u64, content: u64) -> Placer {
+    Placer {
+        group: Rc::clone(group),
+        random: RefCell::new(StdRng::seed_from_u64(seed)),
+        late_share: 0.0,
+        freeze_share: 0.0,
+        silent: Vec::new(),
+        content,
+    }
+}
+
+fn map(version: u64) -> Arc<ExpertMap> {
+    Arc::new(ExpertMap::dealt_in_turn(version, 1, 2 * RANKS, RANKS))
+}
+
+async fn change(placer: &Placer, version: u64, step: u64) -> SwitchResult {
+    let group = Rc::clone(&placer.group);
+    let next_pass = async move { Some(group.borrow().pass + 3) };
+    let fallback = map(version + step);
+    switch_map(placer, map(version), fallback, LOAD_TIME, next_pass).await
+}
+
+/// Frees the group if a placer has left it held, as another gateway does.
+async fn free(placer: &Placer, version: u64) -> Option<SwitchResult> {
+    let (holder, pass, armed) = {
+        let group = placer.group.borrow();
+        let ranks = group.ranks.iter().enumerate();
+        let (holder, pass) = ranks
+            .clone()
+            .find_map(|(rank, state)| Some((rank, state.held?)))?;
+        let armed = ranks.filter_map(|(_, state)| state.armed.or(state.prepared));
+        (holder, pass, armed.map(|(version, _)| version).max())
+    };
+    Some(free_group(placer, holder, pass, armed.unwrap_or(0), map(version)).await)
+}
+
+fn run_paused(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(LocalSet::new().run_until(test));
+}
+
+fn start_passes(group: &Rc<RefCell<Group>>) {
+    let group = Rc::clone(group);
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(PASS_TIME).await;
+            group.borrow_mut().begin_pass();
+        }
+    });
+}
+
+#[test]
+fn answered_orders_switch_all_ranks_without_a_pause() {
+    run_paused(async {
+        let group = Group::new();
+        start_passes(&group);
+        let result = change(&placer(&group, 1, 1), 10, VERSION_STEP).await;
+        assert!(
+            matches!(result, SwitchResult::Switched { .. }),
+            "{result:?}"
+        );
+        let pass = group.borrow().pass;
+        sleep(10 * PASS_TIME).await;
+        let group = group.borrow();
+        assert!(group.ranks.iter().all(|rank| rank.map == (10, 1)));
+        // The pass was released before the group came to it.
+        assert!(group.pass >= pass + 9, "{} after {pass}", group.pass);
+        assert_eq!(group.violations, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn silent_rank_before_the_hold_starts_nothing() {
+    run_paused(async {
+        let group = Group::new();
+        start_passes(&group);
+        let mut placer = placer(&group, 1, 1);
+        placer.silent = vec![4];
+        let result = change(&placer, 10, VERSION_STEP).await;
+        assert!(matches!(result, SwitchResult::NotStarted(_)), "{result:?}");
+        assert!(!group.borrow().is_held());
+    });
+}
+
+/// A late arm that comes into force while the change is undone once left the group held for
+/// seconds: the rank refused to prepare, which was taken for another placer's arm.
+#[test]
+fn late_arm_during_the_undoing_does_not_leave_the_group_held() {
+    run_paused(async {
+        let group = Group::new();
+        group.borrow_mut().ranks[0].held = Some(5);
+        for rank in 0..RANKS {
+            let prepare = RankOrder::Prepare {
+                version: 10,
+                map: map(10),
+            };
+            group.borrow_mut().apply(rank, &prepare, 1);
+        }
+        let late = Rc::clone(&group);
+        tokio::task::spawn_local(async move {
+            // Between the disarming of all ranks and the preparing of the newer version.
+            sleep(2 * ANSWER_TIME + ANSWER_TIME / 2).await;
+            late.borrow_mut().apply(
+                3,
+                &RankOrder::Arm {
+                    version: 10,
+                    pass: 5,
+                },
+                1,
+            );
+        });
+        let result = free_group(&placer(&group, 1, 2), 0, 5, 10, map(11)).await;
+        assert!(matches!(result, SwitchResult::Undone(_)), "{result:?}");
+        assert!(!group.borrow().is_held());
+        assert!(group.borrow().ranks.iter().all(|rank| rank.armed.is_none()));
+    });
+}
+
+#[test]
+fn placer_that_is_gone_after_arming_some_ranks_is_cleaned_up() {
+    run_paused(async {
+        let group = Group::new();
+        start_passes(&group);
+        let mut gone = placer(&group, 1, 1);
+        gone.silent = vec![5];
+        for rank in 0..RANKS {
+            let prepare = RankOrder::Prepare {
+                version: 10,
+                map: map(10),
+            };
+            group.borrow_mut().apply(rank, &prepare, 1);
+        }
+        let pass = group.borrow().pass + 4;
+        group.borrow_mut().apply(0, &RankOrder::Hold { pass }, 1);
+        for rank in 0..3 {
+            group
+                .borrow_mut()
+                .apply(rank, &RankOrder::Arm { version: 10, pass }, 1);
+        }
+        sleep(10 * PASS_TIME).await;
+        assert_eq!(group.borrow().pass, pass - 1);
+        let result = free(&placer(&group, 2, 2), 20).await;
+        assert!(
+            matches!(result, Some(SwitchResult::Undone(_))),
+            "{result:?}"
+        );
+        sleep(10 * PASS_TIME).await;
+        let group = group.borrow();
+        assert!(group.pass > pass);
+        assert!(group.ranks.iter().all(|rank| rank.map == (0, 0)));
+        assert_eq!(group.violations, Vec::<String>::new());
+    });
+}
+
+/// Two placers change maps and free the group again and again, with their own shares of late
+/// orders and freezes; every pass is checked.
+fn check_seeds(late_share: f64, freeze_share: f64, first_seed: u64) {
+    for seed in first_seed..first_seed + 40 {
+        let violations = run_seed(late_share, freeze_share, seed, VERSION_STEP);
+        assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Without versions of their own, two placers mean different maps by one version. The check has
+/// to see that.
+#[test]
+fn common_versions_of_two_placers_are_caught() {
+    let broken = (200..240).filter(|seed| !run_seed(0.0, 0.05, *seed, 1).is_empty());
+    assert!(broken.count() > 0);
+}
+
+/// Runs two placers; `version_step` is the distance of a version and its fallback.
+fn run_seed(late_share: f64, freeze_share: f64, seed: u64, version_step: u64) -> Vec<String> {
+    let found = Rc::new(RefCell::new(Vec::new()));
+    let outcome = Rc::clone(&found);
+    run_paused(async move {
+        let group = Group::new();
+        start_passes(&group);
+        let act = |number: u64| {
+            let mut placer = placer(&group, seed * 31 + number, number + 1);
+            placer.late_share = late_share;
+            placer.freeze_share = freeze_share;
+            let group = Rc::clone(&group);
+            async move {
+                let mut count = 1;
+                for _ in 0..12 {
+                    // The low bits tell placers apart, as versions of real ones do.
+                    let highest = group.borrow().ranks.iter().map(|rank| rank.highest).max();
+                    count = (highest.unwrap_or(0) >> 4).max(count) + 1;
+                    change(&placer, (count << 4) | number, version_step).await;
+                    count += 2;
+                    sleep(Duration::from_millis(900)).await;
+                    if group.borrow().is_held() {
+                        free(&placer, (count << 4) | number).await;
+                    }
+                    // A placer drops a change that takes too long, at any step.
+                    let cut = Duration::from_millis(350 + 40 * number);
+                    let _ = timeout(
+                        cut,
+                        change(&placer, ((count + 1) << 4) | number, version_step),
+                    )
+                    .await;
+                    sleep(Duration::from_millis(700)).await;
+                }
+            }
+        };
+        let ((), ()) = futures_util::future::join(act(1), act(2)).await;
+        found.borrow_mut().clone_from(&group.borrow().violations);
+    });
+    outcome.take()
+}
+
+test_cases! {
+    fn check_seeds(late_share: f64, freeze_share: f64, first_seed: u64);
+    two_placers_with_answered_orders: (0.0, 0.0, 1);
+    two_placers_with_late_orders: (0.35, 0.0, 100);
+    two_placers_that_freeze: (0.0, 0.05, 200);
+    two_placers_with_late_orders_and_freezes: (0.2, 0.03, 300);
+}
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -62,7 +62,10 @@
     let store = StoreClient::new(options.platform.address, options.platform.timeout);
     let metrics = GatewayMetrics::register(&registry);
     let state = Rc::new(GatewayState::new(&options.instance, gateway, metrics));
-    tokio::task::spawn_local(refresh::follow_configuration(Rc::clone(&state), store.clone()));
+    tokio::task::spawn_local(refresh::follow_configuration(
+        Rc::clone(&state),
+        store.clone(),
+    ));
     tokio::task::spawn_local(refresh::follow_targets(Rc::clone(&state), store));
     tokio::task::spawn_local(peers::exchange_loads(Rc::clone(&state), loads));
     tokio::task::spawn_local(placer::follow_groups(Rc::clone(&state)));
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -272,6 +272,8 @@
 /// Returns the number of waiting requests of each service.
 pub fn waiting_counts(state: &GatewayState) -> HashMap<ServiceName, usize> {
     let lines = state.lines.borrow();
-    let counts = lines.iter().map(|(service, line)| (service.clone(), line.len()));
+    let counts = lines
+        .iter()
+        .map(|(service, line)| (service.clone(), line.len()));
     counts.collect()
 }
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -44,7 +44,10 @@
     drop(listener);
     closing.cancel();
     work.close();
-    let remaining = state.options.stop_limit.saturating_sub(NOTICE + KILL_MARGIN);
+    let remaining = state
+        .options
+        .stop_limit
+        .saturating_sub(NOTICE + KILL_MARGIN);
     let _ = timeout_at(Instant::now() + remaining, work.wait()).await;
 }
 
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -84,8 +84,10 @@
     /// Reads the map in use from what every rank holds.
     pub async fn map_in_use(&self, sets: usize, experts: usize) -> Option<ExpertMap> {
         let mut holders = vec![vec![Vec::new(); experts]; sets];
-        for rank in 0..self.seats.len() {
-            let body = self.get(rank, HOLDINGS_PATH).await?;
+        let bodies = (0..self.seats.len()).map(|rank| self.get(rank, HOLDINGS_PATH));
+        let bodies = futures_util::future::join_all(bodies).await;
+        for (rank, body) in bodies.into_iter().enumerate() {
+            let body = body?;
             let held: Vec<Vec<ExpertNumber>> = decode_holdings(&body).ok()?;
             for (set, held) in held.iter().enumerate() {
                 for expert in held {
@@ -154,7 +156,9 @@
         let outcome = match encode_order(&order, self.epoch, self.seats.len()) {
             Ok(body) => {
                 let answer = self.call(rank, Method::POST, ORDER_PATH, body).await;
-                answer.map_or(OrderOutcome::Unanswered, |(status, _)| decode_order_outcome(status))
+                answer.map_or(OrderOutcome::Unanswered, |(status, _)| {
+                    decode_order_outcome(status)
+                })
             }
             Err(error) => {
                 log::error!("order cannot be encoded: {error}");
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -124,8 +124,19 @@
     /// # Errors
     ///
     /// Fails if the channel breaks, or if the answer is too large or late.
-    pub async fn collect(self, state: &GatewayState, until: Instant) -> Result<(response::Parts, Bytes)> {
-        let Self { lease, parts, head, channel, is_kept, body } = self;
+    pub async fn collect(
+        self,
+        state: &GatewayState,
+        until: Instant,
+    ) -> Result<(response::Parts, Bytes)> {
+        let Self {
+            lease,
+            parts,
+            head,
+            channel,
+            is_kept,
+            body,
+        } = self;
         let body = timeout_at(until, Limited::new(body, MOST_ANSWER_BYTES).collect()).await;
         let body = body.map_err(|_| AttemptError::broken("answer is late"))?;
         let body = body.map_err(|error| AttemptError::broken(error.to_string()))?;
@@ -138,7 +149,9 @@
     /// Keeps the channel after the last bytes were read.
     pub fn finish(self, state: &GatewayState) {
         if self.is_kept {
-            state.channels.put(self.lease.key, self.channel, self.head.idle_timeout);
+            state
+                .channels
+                .put(self.lease.key, self.channel, self.head.idle_timeout);
         }
     }
 }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -79,7 +79,11 @@
                 metrics.first_answer.clone(),
             );
             let waits = metrics.waits.clone();
-            registry.register("gateway_wait_seconds", "Time spent waiting for a target", waits);
+            registry.register(
+                "gateway_wait_seconds",
+                "Time spent waiting for a target",
+                waits,
+            );
             let retries = metrics.retries.clone();
             registry.register("gateway_retries", "Attempts after the first one", retries);
             registry.register(
@@ -88,7 +92,11 @@
                 metrics.moved_streams.clone(),
             );
             let ejections = metrics.ejections.clone();
-            registry.register("gateway_ejections", "Times that a target was left out", ejections);
+            registry.register(
+                "gateway_ejections",
+                "Times that a target was left out",
+                ejections,
+            );
             let channels = metrics.channels.clone();
             registry.register("gateway_channels", "New channels to targets", channels);
             let changes = metrics.map_changes.clone();
@@ -99,9 +107,17 @@
                 metrics.store_failures.clone(),
             );
             let waiting = metrics.waiting.clone();
-            registry.register("gateway_waiting", "Requests that wait for a target", waiting);
+            registry.register(
+                "gateway_waiting",
+                "Requests that wait for a target",
+                waiting,
+            );
             let revision = metrics.revision.clone();
-            registry.register("gateway_revision", "Configuration revision in force", revision);
+            registry.register(
+                "gateway_revision",
+                "Configuration revision in force",
+                revision,
+            );
         });
         metrics
     }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -17,8 +17,7 @@
     sassafrasslip_proto::peer::{GroupRecord, LoadReport, Snapshot, SnapshotRequest, TargetRecord},
     std::{
         error::Error,
-        fmt,
-        io,
+        fmt, io,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         rc::Rc,
         result,
@@ -114,7 +113,13 @@
         let is_idle = report.targets.is_empty();
         let gossips = tick.is_multiple_of(REPORTS_PER_GOSSIP);
         if gossips {
-            report.gateways = state.peers.borrow().known().into_iter().map(u32::from).collect();
+            report.gateways = state
+                .peers
+                .borrow()
+                .known()
+                .into_iter()
+                .map(u32::from)
+                .collect();
         }
         // A report that says that nothing is left in flight matters as much as one of load.
         let is_due = !(is_idle && was_idle) || tick.is_multiple_of(REPORTS_PER_HEARTBEAT);
@@ -138,7 +143,10 @@
 fn seeds(state: &GatewayState) -> Vec<Ipv4Addr> {
     let own = state.options.peer_address.ip();
     let seeds = state.options.seeds.iter().map(SocketAddr::ip);
-    seeds.filter(|address| *address != own).filter_map(ipv4).collect()
+    seeds
+        .filter(|address| *address != own)
+        .filter_map(ipv4)
+        .collect()
 }
 
 fn ipv4(address: IpAddr) -> Option<Ipv4Addr> {
@@ -272,7 +280,9 @@
         Bytes::new()
     };
     let roster = state.roster.borrow();
-    let targets = roster.iter().map(|(_, target)| target_record(&target.entry));
+    let targets = roster
+        .iter()
+        .map(|(_, target)| target_record(&target.entry));
     let age = state.list_age(Instant::now()).as_millis();
     Snapshot {
         document,
@@ -387,7 +397,11 @@
         (None, Some(_)) => false,
     };
     if is_newer && !snapshot.targets.is_empty() {
-        let entries = snapshot.targets.into_iter().filter_map(target_entry).collect();
+        let entries = snapshot
+            .targets
+            .into_iter()
+            .filter_map(target_entry)
+            .collect();
         state.apply_listing(entries, read_at.unwrap_or(asked_at), "peer");
     }
     Ok(())
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -18,6 +18,7 @@
         log_event,
         placement::{ExpertCounts, ExpertMap},
     },
+    sassafrasslip_platform::RankStatus,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -52,10 +53,14 @@
 
 /// Silence of all ranks of a group after which it may be held by a placer that is gone. Changes
 /// hold a pass for some milliseconds.
-const STALL_LIMIT: Duration = Duration::from_millis(900);
+const STALL_LIMIT: Duration = Duration::from_millis(600);
 
 /// Additional silence for each gateway that comes before this one, so that one of them acts.
-const STALL_STEP: Duration = Duration::from_millis(500);
+const STALL_STEP: Duration = Duration::from_millis(300);
+
+/// Pause between two looks at a group that may be held. A group that goes on has begun another
+/// pass by then.
+const HELD_RECHECK: Duration = Duration::from_millis(150);
 
 /// Time that freeing a group may take.
 const FREE_LIMIT: Duration = Duration::from_secs(25);
@@ -78,6 +83,8 @@
 struct Placer {
     groups: RefCell<HashMap<GroupName, PlacedGroup>>,
     busy: RefCell<HashMap<GroupName, Rc<Cell<bool>>>>,
+    /// Formations that this placer has looked at, to find those that were left held.
+    seen: RefCell<HashMap<GroupName, u64>>,
     draw: u64,
 }
 
@@ -119,7 +126,8 @@
                 continue;
             };
             let (state, placer) = (Rc::clone(&state), Rc::clone(&placer));
-            if is_stalled(&state, &situation) {
+            let is_new = is_placer(&state, &name) && placer.is_first_look(&situation);
+            if is_new || is_stalled(&state, &situation) {
                 busy.set(true);
                 tokio::task::spawn_local(async move {
                     let freeing = free_if_held(&placer, &situation, &experts);
@@ -139,6 +147,15 @@
     }
 }
 
+impl Placer {
+    /// Returns whether this placer sees a formation for the first time. The placer before it may
+    /// have left the group held.
+    fn is_first_look(&self, situation: &GroupSituation) -> bool {
+        let mut seen = self.seen.borrow_mut();
+        seen.insert(situation.name.clone(), situation.epoch) != Some(situation.epoch)
+    }
+}
+
 fn group_names(state: &GatewayState) -> Vec<(ServiceName, GroupName)> {
     let roster = state.roster.borrow();
     let mut names: Vec<_> = roster
@@ -156,12 +173,21 @@
 /// Gathers the figures of a group; `None` unless it runs and every rank is known.
 fn situation(state: &GatewayState, name: &GroupName) -> Option<GroupSituation> {
     let roster = state.roster.borrow();
-    let view = roster.groups().get(name).copied().filter(|view| view.is_open)?;
+    let view = roster
+        .groups()
+        .get(name)
+        .copied()
+        .filter(|view| view.is_open)?;
     let mut seats = Vec::new();
     let mut size = 0;
     let (mut progress_at, mut own) = (None, 0);
     for (_, target) in roster.iter() {
-        let Some(seat) = target.entry.group.as_ref().filter(|seat| seat.name == *name) else {
+        let Some(seat) = target
+            .entry
+            .group
+            .as_ref()
+            .filter(|seat| seat.name == *name)
+        else {
             continue;
         };
         if target.entry.state != TargetState::Ready {
@@ -343,15 +369,21 @@
         highest_version,
         next_review: Instant::now(),
     };
-    placer.groups.borrow_mut().insert(situation.name.clone(), group);
+    placer
+        .groups
+        .borrow_mut()
+        .insert(situation.name.clone(), group);
     Some(map)
 }
 
-fn highest_version(status: &sassafrasslip_platform::RankStatus) -> u64 {
-    status.map.max(status.prepared.unwrap_or(0)).max(status.armed.unwrap_or(0))
+fn highest_version(status: &RankStatus) -> u64 {
+    status
+        .map
+        .max(status.prepared.unwrap_or(0))
+        .max(status.armed.unwrap_or(0))
 }
 
-async fn all_statuses(engines: &GroupEngines) -> Option<Vec<sassafrasslip_platform::RankStatus>> {
+async fn all_statuses(engines: &GroupEngines) -> Option<Vec<RankStatus>> {
     let ranks = 0..engines.ranks();
     let statuses = ranks.map(|rank| engines.status(rank));
     let statuses = futures_util::future::join_all(statuses).await;
@@ -381,7 +413,11 @@
     if before.len() != counts.tokens().len() || after.len() != before.len() {
         return None;
     }
-    for (tokens, (before, after)) in counts.tokens_mut().iter_mut().zip(before.iter().zip(&after)) {
+    for (tokens, (before, after)) in counts
+        .tokens_mut()
+        .iter_mut()
+        .zip(before.iter().zip(&after))
+    {
         *tokens = after.saturating_sub(*before) as f64;
     }
     (counts.total() > 0.0).then_some(counts)
@@ -394,7 +430,9 @@
     for picks in picks {
         let counts = picks?.counts;
         sums.resize(counts.len(), 0);
-        sums.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+        sums.iter_mut()
+            .zip(counts)
+            .for_each(|(sum, count)| *sum += count);
     }
     Some(sums)
 }
@@ -406,7 +444,10 @@
     };
     let own = own_address(state);
     let peers = state.peers.borrow();
-    let before = peers.serving(Instant::now()).filter(|address| *address < own).count();
+    let before = peers
+        .serving(Instant::now())
+        .filter(|address| *address < own)
+        .count();
     let limit = STALL_LIMIT + STALL_STEP * u32::try_from(before).unwrap_or(u32::MAX);
     progress_at.elapsed() >= limit
 }
@@ -414,30 +455,54 @@
 /// Frees a group if a placer has left it held.
 async fn free_if_held(placer: &Placer, situation: &GroupSituation, experts: &ExpertProfile) {
     let engines = &situation.engines;
+    if !is_left_held(engines).await {
+        return;
+    }
     let freed = async {
         let statuses = all_statuses(engines).await?;
-        let (holder, pass) = statuses.iter().enumerate().find_map(|(rank, status)| {
-            // A pass further ahead is not what the group waits for.
-            let pass = status.held.filter(|pass| *pass <= status.pass + 1)?;
-            Some((rank, pass))
-        })?;
+        let (holder, pass) = held_pass(&statuses)?;
         let map = engines.map_in_use(experts.sets, experts.experts).await?;
-        let version = statuses.iter().filter_map(|status| status.armed.or(status.prepared)).max();
+        let version = statuses
+            .iter()
+            .filter_map(|status| status.armed.or(status.prepared))
+            .max();
         let highest = statuses.iter().map(highest_version).max()?;
         let count = (highest >> VERSION_RANDOM_BITS) + 1;
         let fallback = map.with_version((count << VERSION_RANDOM_BITS) | placer.draw);
         let version = version.unwrap_or(highest);
         Some(free_group(engines, holder, pass, version, Arc::new(fallback)).await)
     };
-    if let Some(result) = freed.await {
-        placer.groups.borrow_mut().remove(&situation.name);
-        log_event!(
-            GroupFreed,
-            group = situation.name,
-            epoch = situation.epoch,
-            result = format_args!("{result:?}")
-        );
-    }
-    // Another look at the group is taken only after it had time to go on.
-    sleep(STALL_LIMIT).await;
+    let result = freed.await;
+    placer.groups.borrow_mut().remove(&situation.name);
+    log_event!(
+        GroupFreed,
+        group = situation.name,
+        epoch = situation.epoch,
+        result = format_args!("{result:?}")
+    );
+}
+
+/// Returns whether the group waits for a held pass. Changes hold a pass at the first rank, and
+/// whoever frees a group at the first two.
+async fn is_left_held(engines: &GroupEngines) -> bool {
+    let look = || async {
+        let ranks = (0..engines.ranks().min(2)).map(|rank| engines.status(rank));
+        let statuses = futures_util::future::join_all(ranks).await;
+        held_pass(&statuses.into_iter().flatten().collect::<Vec<_>>()).map(|(_, pass)| pass)
+    };
+    let Some(pass) = look().await else {
+        return false;
+    };
+    sleep(HELD_RECHECK).await;
+    look().await == Some(pass)
+}
+
+/// Returns the rank that holds the pass for which the group waits. A pass further ahead is not
+/// what the group waits for.
+fn held_pass(statuses: &[RankStatus]) -> Option<(usize, u64)> {
+    let mut ranks = statuses.iter().enumerate();
+    ranks.find_map(|(rank, status)| {
+        let pass = status.held.filter(|pass| *pass <= status.pass + 1)?;
+        Some((rank, pass))
+    })
 }
--- a/crates/daemon/src/gateway/readiness.rs
+++ b/crates/daemon/src/gateway/readiness.rs
@@ -5,7 +5,9 @@
     crate::telemetry::HealthState,
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     sassafrasslip_core::{events::LogEvent::ListenerFailed, log_event},
     sassafrasslip_platform::READINESS_PATH,
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -133,12 +133,17 @@
         let pause = since.elapsed();
         let objective = run.matched.route.pause_objective;
         if let (Some(open), Some(objective)) = (&self.open, objective) {
-            run.state.record_pause(open.lease.key, &run.service, pause, objective);
+            run.state
+                .record_pause(open.lease.key, &run.service, pause, objective);
         }
     }
 
     /// Continues the stream at another target after its last whole event.
-    async fn move_on(&mut self, run: &mut RequestRun, error: &AttemptError) -> Result<(), CutError> {
+    async fn move_on(
+        &mut self,
+        run: &mut RequestRun,
+        error: &AttemptError,
+    ) -> Result<(), CutError> {
         self.open = None;
         let mut decision = run.after_failure(error);
         if run.matched.route.repeat != RepeatRule::ResumableStream {
@@ -208,7 +213,9 @@
         let read = read_with_silence_limit(run, open).await?;
         let Some(bytes) = read else {
             if splitter.pending_bytes() > 0 {
-                return Err(AttemptError::broken("stream ends in the middle of an event"));
+                return Err(AttemptError::broken(
+                    "stream ends in the middle of an event",
+                ));
             }
             return Ok(None);
         };
@@ -246,7 +253,10 @@
                 ..AttemptError::broken("deadline passed")
             });
         }
-        if run.state.others_progress(&run.service, key, now - PROGRESS_WINDOW) {
+        if run
+            .state
+            .others_progress(&run.service, key, now - PROGRESS_WINDOW)
+        {
             return Err(AttemptError::broken("target is silent"));
         }
         review_at = now + SILENCE_REVIEW;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -23,9 +23,7 @@
         ids::ServiceName,
         log_event,
     },
-    sassafrasslip_platform::{
-        CallerHead, answer::forwarded_headers, decode_caller,
-    },
+    sassafrasslip_platform::{CallerHead, answer::forwarded_headers, decode_caller},
     std::{ops::ControlFlow, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
@@ -56,7 +54,14 @@
     let caller = decode_caller(&parts);
     match prepare(&state, &caller, &parts, incoming).await {
         Ok((table, matched, service, body)) => {
-            let run = RequestRun::new(state, parts, caller, body, (table, matched, service), arrived);
+            let run = RequestRun::new(
+                state,
+                parts,
+                caller,
+                body,
+                (table, matched, service),
+                arrived,
+            );
             run.answer().await
         }
         Err(answer) => {
@@ -75,7 +80,9 @@
     parts: &request::Parts,
     incoming: Incoming,
 ) -> Result<Prepared, OwnAnswer> {
-    let limit = state.table().map_or(usize::MAX, |table| table.limits.body_bytes);
+    let limit = state
+        .table()
+        .map_or(usize::MAX, |table| table.limits.body_bytes);
     // The body is read before a refusal too: a connection that closes with unread bytes is reset,
     // and the reset can overtake the refusal.
     let body = Limited::new(incoming, limit).collect().await;
@@ -87,14 +94,16 @@
         OwnAnswer::rejected(status, "body cannot be read")
     })?;
     let table = state.table();
-    let table = table.ok_or_else(|| OwnAnswer::not_run("no configuration yet", UNINFORMED_RETURN))?;
+    let table =
+        table.ok_or_else(|| OwnAnswer::not_run("no configuration yet", UNINFORMED_RETURN))?;
     let found = table.find(&caller.host, parts.uri.path(), caller.key.as_deref());
     let matched = found.map_err(|miss| match miss {
         RouteMiss::NoRoute => OwnAnswer::rejected(StatusCode::NOT_FOUND, "no route"),
         RouteMiss::UnknownKey => OwnAnswer::rejected(StatusCode::UNAUTHORIZED, "unknown key"),
     })?;
     let service = matched.route.pick_service(rand::random()).cloned();
-    let service = service.ok_or_else(|| OwnAnswer::not_run("route has no service", FAILED_RETURN))?;
+    let service =
+        service.ok_or_else(|| OwnAnswer::not_run("route has no service", FAILED_RETURN))?;
     Ok((table, matched, service, body.to_bytes()))
 }
 
@@ -155,7 +164,9 @@
         arrived: Instant,
     ) -> Self {
         let timeout = matched.route.timeout;
-        let patience = caller.patience.map_or(timeout, |patience| patience.min(timeout));
+        let patience = caller
+            .patience
+            .map_or(timeout, |patience| patience.min(timeout));
         state.record_first_try(&service, arrived);
         Self {
             state,
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -6,9 +6,13 @@
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            GroupLoad, PassGovernor, PeerTable, RetryAllowance, RosterChange, RouteRule, RouteTable, TargetEntry, TargetKey, TargetRoster,
+            GroupLoad, PassGovernor, PeerTable, RetryAllowance, RosterChange, RouteRule,
+            RouteTable, TargetEntry, TargetKey, TargetRoster,
+        },
+        events::LogEvent::{
+            GroupBounded, GroupChanged, TableApplied, TableOutdated, TargetEjected, TargetLeft,
+            TargetListed,
         },
-        events::LogEvent::{GroupBounded, GroupChanged, TableApplied, TableOutdated, TargetEjected, TargetLeft, TargetListed},
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
     },
@@ -113,7 +117,9 @@
             routes = table.route_count(),
             source = source
         );
-        self.metrics.revision.set(i64::try_from(table.revision).unwrap_or(i64::MAX));
+        self.metrics
+            .revision
+            .set(i64::try_from(table.revision).unwrap_or(i64::MAX));
         *self.table.borrow_mut() = Some(Rc::new(table));
         *self.document.borrow_mut() = document;
         true
@@ -151,9 +157,17 @@
     }
 
     /// Notes the pause between two events of a stream and works the bound of its group out anew.
-    pub fn record_pause(&self, key: TargetKey, service: &ServiceName, pause: Duration, objective: Duration) {
+    pub fn record_pause(
+        &self,
+        key: TargetKey,
+        service: &ServiceName,
+        pause: Duration,
+        objective: Duration,
+    ) {
         let roster = self.roster.borrow();
-        let seat = roster.get(key).and_then(|target| target.entry.group.as_ref());
+        let seat = roster
+            .get(key)
+            .and_then(|target| target.entry.group.as_ref());
         let Some(seat) = seat else {
             return;
         };
@@ -181,7 +195,9 @@
             pause_ms = governor.mean_pause().unwrap_or_default().as_millis()
         );
         if let Some(limit) = governor.limit() {
-            self.group_limits.borrow_mut().insert(seat.name.clone(), limit);
+            self.group_limits
+                .borrow_mut()
+                .insert(seat.name.clone(), limit);
         }
     }
 
@@ -220,7 +236,12 @@
             }
             RosterChange::Left(key, entry) => {
                 self.channels.close(*key);
-                log_event!(TargetLeft, target = entry.id, state = "gone", source = source);
+                log_event!(
+                    TargetLeft,
+                    target = entry.id,
+                    state = "gone",
+                    source = source
+                );
             }
         }
     }
@@ -233,20 +254,24 @@
     /// Returns the age of the instance list.
     pub fn list_age(&self, now: Instant) -> Duration {
         let listed_at = self.listed_at.get();
-        listed_at.map_or(Duration::MAX, |listed_at| now.saturating_duration_since(listed_at))
+        listed_at.map_or(Duration::MAX, |listed_at| {
+            now.saturating_duration_since(listed_at)
+        })
     }
 
     /// Counts a request of a caller toward the retry budget of its service.
     pub fn record_first_try(&self, service: &ServiceName, now: Instant) {
         let mut allowances = self.allowances.borrow_mut();
-        self.allowance(&mut allowances, service).record_first_try(now);
+        self.allowance(&mut allowances, service)
+            .record_first_try(now);
     }
 
     /// Takes one retry from the budget of a service.
     pub fn try_spend_retry(&self, service: &ServiceName, now: Instant) -> bool {
         let mut allowances = self.allowances.borrow_mut();
         let gateways = self.peers.borrow().sharers(now);
-        self.allowance(&mut allowances, service).try_spend(gateways, now)
+        self.allowance(&mut allowances, service)
+            .try_spend(gateways, now)
     }
 
     fn allowance<'a>(
@@ -284,7 +309,9 @@
     /// Returns whether another target of the service has sent an event since `since`.
     pub fn others_progress(&self, service: &ServiceName, key: TargetKey, since: Instant) -> bool {
         let roster = self.roster.borrow();
-        let mut others = roster.of_service(service).filter(|(other, _)| *other != key);
+        let mut others = roster
+            .of_service(service)
+            .filter(|(other, _)| *other != key);
         others.any(|(_, target)| target.progress_at.is_some_and(|at| at >= since))
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -92,9 +92,7 @@
             DaemonCommand::Agent(_) => agent::serve(options).await,
             DaemonCommand::Check(_) => Ok(()),
             DaemonCommand::Entry(_) => entry::serve(options).await,
-            DaemonCommand::Gateway(arguments) => {
-                gateway::serve(options, arguments.clone()).await
-            },
+            DaemonCommand::Gateway(arguments) => gateway::serve(options, arguments.clone()).await,
         }
     });
     log::logger().flush();
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -13,8 +13,9 @@
 pub mod units;
 
 pub use {
-    agent::AgentOptions, entry::EntryOptions, gateway::GatewayOptions, instance::InstanceOptions, log::LogOptions,
-    metrics::MetricsOptions, platform::PlatformOptions, source::SettingsError, stop::StopOptions,
+    agent::AgentOptions, entry::EntryOptions, gateway::GatewayOptions, instance::InstanceOptions,
+    log::LogOptions, metrics::MetricsOptions, platform::PlatformOptions, source::SettingsError,
+    stop::StopOptions,
 };
 
 use {
