Follow the demand in a growing window, pace starts, and hold one pass ahead

Cause: a plan made from a 100 ms sample promises a skew of 1.45 and gets 1.65 to 1.75, since it follows the noise of the sample; when the bound rises, all gateways start what waits at once (126 to 193 requests within half a second). Change: the sample grows as long as new ones agree with it; each gateway starts at its share of a pace; the pass that is held is one ahead of the estimate, with more tries.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! arguments, decisions go out as values.
 
 pub mod channel_plan;
+pub mod demand_window;
 pub mod event_stream;
 pub mod failure;
 pub mod map_plan;
@@ -22,7 +23,7 @@
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step},
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
-    pass_governor::{GroupLoad, PassGovernor},
+    pass_governor::{GroupLoad, PassGovernor, StartPacer},
     peer_table::{PeerReport, PeerTable},
     retry_allowance::RetryAllowance,
     route_table::{
--- a/crates/core/src/dispatch/map_switch.rs
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -42,8 +42,8 @@
 const UNDO_TRIES: u32 = 4;
 
 /// Passes by which a refused hold is moved on, and how often it is.
-const HOLD_STRIDE: u64 = 3;
-const HOLD_TRIES: u32 = 3;
+const HOLD_STRIDE: u64 = 1;
+const HOLD_TRIES: u32 = 6;
 
 /// Rank of a group.
 pub type RankIndex = usize;
--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -32,6 +32,55 @@
 /// Least requests for each rank, so that the group always makes progress that can be measured.
 const LEAST_PER_RANK: f64 = 2.0;
 
+/// Prompts that a group reads in one pass at most, for each rank. At a usual load it is a quarter.
+const PROMPTS_PER_RANK: f64 = 0.6;
+
+/// Factor by which a gateway may exceed its share of the starts.
+const SHARE_SLACK: f64 = 1.6;
+
+/// Starts that a gateway may make at once after a quiet time.
+const BURST_STARTS: f64 = 2.0;
+
+/// Pace at which one gateway starts requests in a group.
+///
+/// Load pattern: requests that wait at many gateways. When the bound rises, all gateways see room
+/// at the same moment; without a pace they would fill it several times over, and the prompts that
+/// are read at once would make the next passes slow.
+#[derive(Debug, Default)]
+pub struct StartPacer {
+    starts: f64,
+    rate: f64,
+    updated_at: Option<Instant>,
+}
+
+impl StartPacer {
+    /// Sets the pace: `share` is this gateway's part of the requests in flight, `pause` the time
+    /// of a pass.
+    pub fn set_pace(&mut self, ranks: u32, share: f64, pause: Duration) {
+        let prompts = f64::from(ranks) * PROMPTS_PER_RANK * SHARE_SLACK * share;
+        self.rate = prompts / pause.as_secs_f64().max(0.001);
+    }
+
+    /// Returns whether a request may start now.
+    pub fn allows(&mut self, now: Instant) -> bool {
+        if self.rate <= 0.0 {
+            return true;
+        }
+        let elapsed = self
+            .updated_at
+            .map(|last| now.saturating_duration_since(last));
+        self.updated_at = Some(now);
+        let earned = elapsed.unwrap_or(Duration::MAX).as_secs_f64() * self.rate;
+        self.starts = (self.starts + earned).min(BURST_STARTS);
+        self.starts >= 1.0
+    }
+
+    /// Notes a start.
+    pub fn record_start(&mut self) {
+        self.starts = (self.starts - 1.0).max(0.0);
+    }
+}
+
 /// Bound on the requests of one group.
 #[derive(Debug)]
 pub struct PassGovernor {
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -215,6 +215,15 @@
             .sum()
     }
 
+    /// Returns the requests that this gateway has in flight at the ranks of a group.
+    pub fn own_group_load(&self, name: &GroupName) -> u32 {
+        let ranks = self.targets.values().filter(|target| {
+            let seat = target.entry.group.as_ref();
+            seat.is_some_and(|seat| seat.name == *name)
+        });
+        ranks.map(|target| target.own_in_flight).sum()
+    }
+
     /// Returns the groups.
     pub fn groups(&self) -> &HashMap<GroupName, GroupView> {
         &self.groups
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -203,8 +203,8 @@
     now: Instant,
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
 ) {
-    let group_limits = state.group_limits.borrow();
     for key in line.line.order(now) {
+        let group_limits = state.paced_limits(now);
         let tried = line.waiters.get(key).map(|waiter| waiter.tried.as_slice());
         let input = ChoiceInput {
             service,
@@ -258,10 +258,7 @@
 }
 
 fn lease(state: &Rc<GatewayState>, service: &ServiceName, key: TargetKey) -> TargetLease {
-    if let Some(target) = state.roster.borrow_mut().get_mut(key) {
-        target.own_in_flight += 1;
-        target.health.record_start();
-    }
+    state.record_start(key);
     TargetLease {
         state: Rc::clone(state),
         service: service.clone(),
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -8,7 +8,9 @@
     super::{engines::GroupEngines, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
-            EngineProfile, ExpertProfile, SwitchResult, TargetState, free_group,
+            EngineProfile, ExpertProfile, SwitchResult, TargetState,
+            demand_window::DemandWindow,
+            free_group,
             map_plan::{PlanFigures, pass_is_slow, plan_change},
             map_switch::RankControl,
             switch_map,
@@ -49,7 +51,7 @@
 const LOADING_MARGIN: Duration = Duration::from_millis(40);
 
 /// Passes between the estimate of the current pass and the one that is held.
-const PASS_MARGIN: u64 = 2;
+const PASS_MARGIN: u64 = 1;
 
 /// Silence of all ranks of a group after which it may be held by a placer that is gone. Changes
 /// hold a pass for some milliseconds.
@@ -76,6 +78,7 @@
     map: ExpertMap,
     highest_version: u64,
     next_review: Instant,
+    demand: DemandWindow,
 }
 
 /// Groups that this gateway places, and those that are being worked on.
@@ -279,7 +282,7 @@
     let engines = &situation.engines;
     let started_at = Instant::now();
     let map = current_map(placer, experts, situation).await?;
-    let counts = sample(engines, experts).await?;
+    let counts = sample(placer, situation, experts).await?;
     let (planned, figures) = plan_change(experts, engines.ranks(), &map, &counts)?;
     log_plan(situation, &figures, started_at);
     let planned = planned?;
@@ -368,6 +371,7 @@
         map: map.clone(),
         highest_version,
         next_review: Instant::now(),
+        demand: DemandWindow::default(),
     };
     placer
         .groups
@@ -399,28 +403,31 @@
     Some(group.highest_version)
 }
 
-/// Samples how often the requests of some ranks choose each expert.
-async fn sample(engines: &GroupEngines, experts: &ExpertProfile) -> Option<ExpertCounts> {
-    let first = rand::random_range(0..engines.ranks());
-    let step = engines.ranks() / SAMPLED_RANKS.min(engines.ranks());
-    let ranks: Vec<_> = (0..SAMPLED_RANKS.min(engines.ranks()))
-        .map(|index| (first + index * step) % engines.ranks())
-        .collect();
+/// Samples how often the requests of some ranks choose each expert. While the demand stays as it
+/// was, the window reaches back to the sample that first showed it.
+async fn sample(
+    placer: &Placer,
+    situation: &GroupSituation,
+    experts: &ExpertProfile,
+) -> Option<ExpertCounts> {
+    let engines = &situation.engines;
+    let ranks = sampled_ranks(&situation.name, engines.ranks());
     let before = read_picks(engines, &ranks).await?;
     sleep(SAMPLE_TIME).await;
     let after = read_picks(engines, &ranks).await?;
-    let mut counts = ExpertCounts::new(experts.sets, experts.experts);
-    if before.len() != counts.tokens().len() || after.len() != before.len() {
-        return None;
-    }
-    for (tokens, (before, after)) in counts
-        .tokens_mut()
-        .iter_mut()
-        .zip(before.iter().zip(&after))
-    {
-        *tokens = after.saturating_sub(*before) as f64;
-    }
-    (counts.total() > 0.0).then_some(counts)
+    let mut groups = placer.groups.borrow_mut();
+    let window = &mut groups.get_mut(&situation.name)?.demand;
+    window.observe(experts.sets, experts.experts, before, after)
+}
+
+/// Returns the ranks whose choices are sampled, the same ones each time.
+fn sampled_ranks(name: &GroupName, ranks: usize) -> Vec<usize> {
+    let first = xxh3_64(name.as_str().as_bytes()) as usize % ranks.max(1);
+    let sampled = SAMPLED_RANKS.min(ranks);
+    let step = ranks / sampled.max(1);
+    (0..sampled)
+        .map(|index| (first + index * step) % ranks)
+        .collect()
 }
 
 async fn read_picks(engines: &GroupEngines, ranks: &[usize]) -> Option<Vec<u64>> {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,7 +7,7 @@
     sassafrasslip_core::{
         dispatch::{
             GroupLoad, PassGovernor, PeerTable, RetryAllowance, RosterChange, RouteRule,
-            RouteTable, TargetEntry, TargetKey, TargetRoster,
+            RouteTable, StartPacer, TargetEntry, TargetKey, TargetRoster,
         },
         events::LogEvent::{
             GroupBounded, GroupChanged, TableApplied, TableOutdated, TargetEjected, TargetLeft,
@@ -58,6 +58,7 @@
     /// Whether the process has been told to stop.
     pub leaving: Cell<bool>,
     governors: RefCell<HashMap<GroupName, PassGovernor>>,
+    pacers: RefCell<HashMap<GroupName, StartPacer>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Running mean of the time from sending a request to its first answer.
@@ -85,6 +86,7 @@
             group_limits: RefCell::default(),
             leaving: Cell::new(false),
             governors: RefCell::default(),
+            pacers: RefCell::default(),
             table: RefCell::default(),
             allowances: RefCell::default(),
             first_answers: RefCell::default(),
@@ -139,6 +141,34 @@
         self.roster.borrow_mut().set_peer_loads(peers.loads(now));
     }
 
+    /// Returns the bounds of groups, which are zero for groups in which this gateway may not start
+    /// a request yet.
+    pub fn paced_limits(&self, now: Instant) -> HashMap<GroupName, u32> {
+        let mut limits = self.group_limits.borrow().clone();
+        let mut pacers = self.pacers.borrow_mut();
+        for (name, limit) in &mut limits {
+            if pacers.get_mut(name).is_some_and(|pacer| !pacer.allows(now)) {
+                *limit = 0;
+            }
+        }
+        limits
+    }
+
+    /// Notes that a request starts at a target.
+    pub fn record_start(&self, key: TargetKey) {
+        let mut roster = self.roster.borrow_mut();
+        let Some(target) = roster.get_mut(key) else {
+            return;
+        };
+        target.own_in_flight += 1;
+        target.health.record_start();
+        if let Some(seat) = &target.entry.group {
+            if let Some(pacer) = self.pacers.borrow_mut().get_mut(&seat.name) {
+                pacer.record_start();
+            }
+        }
+    }
+
     /// Returns the mean pause between events of a group's streams; `None` while unknown.
     pub fn mean_pause(&self, group: &GroupName) -> Option<Duration> {
         self.governors.borrow().get(group)?.mean_pause()
@@ -194,6 +224,11 @@
             in_flight = load.in_flight,
             pause_ms = governor.mean_pause().unwrap_or_default().as_millis()
         );
+        let own = roster.own_group_load(&seat.name).max(1);
+        let share = f64::from(own) / f64::from(load.in_flight.max(own));
+        let mut pacers = self.pacers.borrow_mut();
+        let pacer = pacers.entry(seat.name.clone()).or_default();
+        pacer.set_pace(seat.size, share, governor.mean_pause().unwrap_or_default());
         if let Some(limit) = governor.limit() {
             self.group_limits
                 .borrow_mut()
@@ -233,6 +268,7 @@
                 );
                 self.governors.borrow_mut().remove(name);
                 self.group_limits.borrow_mut().remove(name);
+                self.pacers.borrow_mut().remove(name);
             }
             RosterChange::Left(key, entry) => {
                 self.channels.close(*key);
