--- a/crates/testkit/src/harness/process.rs
+++ b/crates/testkit/src/harness/process.rs
@@ -22,6 +22,8 @@
 pub enum ProcessSignal {
     /// SIGTERM, which asks for a graceful stop.
     Terminate,
+    /// SIGHUP, which asks for the settings to be read again.
+    Hangup,
     /// SIGKILL, which ends the process at once.
     Kill,
     /// SIGSTOP, which pauses the process.
@@ -34,6 +36,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Continue => "CONT",
+            Self::Hangup => "HUP",
             Self::Kill => "KILL",
             Self::Stop => "STOP",
             Self::Terminate => "TERM",
