--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -247,10 +247,10 @@
         let mut changes = Vec::new();
         let target = self.targets.get(key);
         let name = target.and_then(|target| target.entry.group.as_ref());
-        if let Some(name) = name.map(|seat| seat.name.clone()) {
-            if self.broken.remove(&name).is_some() {
-                self.review_groups(&mut changes);
-            }
+        if let Some(name) = name.map(|seat| seat.name.clone())
+            && self.broken.remove(&name).is_some()
+        {
+            self.review_groups(&mut changes);
         }
         changes
     }
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -216,11 +216,12 @@
 async fn free(placer: &Placer, version: u64) -> Option<SwitchResult> {
     let (holder, pass, armed) = {
         let group = placer.group.borrow();
-        let ranks = group.ranks.iter().enumerate();
-        let (holder, pass) = ranks
-            .clone()
-            .find_map(|(rank, state)| Some((rank, state.held?)))?;
-        let armed = ranks.filter_map(|(_, state)| state.armed.or(state.prepared));
+        let mut ranks = group.ranks.iter().enumerate();
+        let (holder, pass) = ranks.find_map(|(rank, state)| Some((rank, state.held?)))?;
+        let armed = group
+            .ranks
+            .iter()
+            .filter_map(|rank| rank.armed.or(rank.prepared));
         (holder, pass, armed.map(|(version, _)| version).max())
     };
     Some(free_group(placer, holder, pass, armed.unwrap_or(0), map(version)).await)
--- a/crates/daemon/src/gateway/channels.rs
+++ b/crates/daemon/src/gateway/channels.rs
@@ -138,7 +138,7 @@
     /// Keeps a channel whose answer has been read to its end.
     pub fn put(&self, key: TargetKey, channel: TargetChannel, announced: Option<Duration>) {
         let mut idle = self.idle.borrow_mut();
-        let Some(channels) = idle.entry(key).map(|entry| entry.or_default()) else {
+        let Some(channels) = idle.entry(key).map(slotmap::secondary::Entry::or_default) else {
             return;
         };
         channels.push_back(IdleChannel {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -162,10 +162,10 @@
         };
         target.own_in_flight += 1;
         target.health.record_start();
-        if let Some(seat) = &target.entry.group {
-            if let Some(pacer) = self.pacers.borrow_mut().get_mut(&seat.name) {
-                pacer.record_start();
-            }
+        if let Some(seat) = &target.entry.group
+            && let Some(pacer) = self.pacers.borrow_mut().get_mut(&seat.name)
+        {
+            pacer.record_start();
         }
     }
 
