One reader of the store in each zone, and placers that do not get in each other's way

Change: the lowest live gateway of a zone reads, the others ask it and fall back at once; no placing in the first 1.5 s, nor 0.7 s after taking over; undoing tries higher versions (test fails without it).

--- a/crates/core/src/dispatch/map_switch.rs
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -39,7 +39,14 @@
 const UNDO_LIMIT: Duration = Duration::from_secs(20);
 
 /// How often undoing starts over when a rank refuses to prepare.
-const UNDO_TRIES: u32 = 4;
+const UNDO_TRIES: u64 = 4;
+
+/// Distance of the versions that are tried one after the other. The bits below tell placers apart,
+/// and a placer seldom gives more than a few versions in the time of one change.
+const UNDO_VERSION_STEP: u64 = 64 << VERSION_PLACER_BITS;
+
+/// Bits of a version that tell placers apart; the bits above them count.
+pub const VERSION_PLACER_BITS: u32 = 16;
 
 /// Passes by which a refused hold is moved on, and how often it is.
 const HOLD_STRIDE: u64 = 1;
@@ -263,11 +270,11 @@
     holders: &[RankIndex],
 ) -> bool {
     let disarm = RankOrder::Disarm { version };
-    let prepare = RankOrder::Prepare {
-        version: fallback.version(),
-        map: fallback,
-    };
-    for _ in 0..UNDO_TRIES {
+    for attempt in 0..UNDO_TRIES {
+        // A rank to which another placer has given a higher version refuses ours.
+        let version = fallback.version() + UNDO_VERSION_STEP * attempt;
+        let map = Arc::new(ExpertMap::clone(&fallback).with_version(version));
+        let prepare = RankOrder::Prepare { version, map };
         // A rank that is not armed with this version refuses, which is as good.
         if order_all_settled(control, &disarm, UNDO_LIMIT).await == AllOutcome::Unanswered {
             return false;
--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -129,6 +129,18 @@
         serving.map(|(address, _)| *address)
     }
 
+    /// Returns the gateway that reads the store for the zone, if it is not the one at `own`: the
+    /// live one with the lowest address.
+    pub fn zone_reader(&self, zone: &ZoneName, own: Ipv4Addr, now: Instant) -> Option<Ipv4Addr> {
+        let in_zone = self.peers.iter().filter(|(address, peer)| {
+            **address < own
+                && is_live(peer, now)
+                && !peer.report.leaving
+                && peer.report.availability_zone.as_ref() == Some(zone)
+        });
+        in_zone.map(|(address, _)| *address).min()
+    }
+
     /// Returns every address that is worth telling to others.
     pub fn known(&self) -> HashSet<Ipv4Addr> {
         self.peers.keys().copied().collect()
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -24,7 +24,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(70);
 const LOAD_TIME: Duration = Duration::from_millis(150);
 /// Distance of two versions of one placer; the lower bits tell placers apart.
-const VERSION_STEP: u64 = 16;
+const VERSION_STEP: u64 = 1 << 16;
 
 /// State of an engine, as far as map changes are concerned.
 #[derive(Clone, Debug, Default)]
@@ -349,6 +349,28 @@
     });
 }
 
+/// Another placer has given the ranks a higher version since. The change that is undone once left
+/// the group held, because the ranks refused the version that voids late arms.
+#[test]
+fn higher_version_of_another_placer_does_not_keep_a_change_from_being_undone() {
+    run_paused(async {
+        let group = Group::new();
+        group.borrow_mut().ranks[0].held = Some(5);
+        for rank in 0..RANKS {
+            let version = (9 << 16) | 3;
+            let prepare = RankOrder::Prepare {
+                version,
+                map: map(version),
+            };
+            group.borrow_mut().apply(rank, &prepare, 2);
+        }
+        let fallback = map((4 << 16) | 1);
+        let result = free_group(&placer(&group, 1, 1), 0, 5, (3 << 16) | 1, fallback).await;
+        assert!(matches!(result, SwitchResult::Undone(_)), "{result:?}");
+        assert!(!group.borrow().is_held());
+    });
+}
+
 /// Two placers change maps and free the group again and again, with their own shares of late
 /// orders and freezes; every pass is checked.
 fn check_seeds(late_share: f64, freeze_share: f64, first_seed: u64) {
@@ -383,18 +405,18 @@
                 for _ in 0..12 {
                     // The low bits tell placers apart, as versions of real ones do.
                     let highest = group.borrow().ranks.iter().map(|rank| rank.highest).max();
-                    count = (highest.unwrap_or(0) >> 4).max(count) + 1;
-                    change(&placer, (count << 4) | number, version_step).await;
+                    count = (highest.unwrap_or(0) >> 16).max(count) + 1;
+                    change(&placer, (count << 16) | number, version_step).await;
                     count += 2;
                     sleep(Duration::from_millis(900)).await;
                     if group.borrow().is_held() {
-                        free(&placer, (count << 4) | number).await;
+                        free(&placer, (count << 16) | number).await;
                     }
                     // A placer drops a change that takes too long, at any step.
                     let cut = Duration::from_millis(350 + 40 * number);
                     let _ = timeout(
                         cut,
-                        change(&placer, ((count + 1) << 4) | number, version_step),
+                        change(&placer, ((count + 1) << 16) | number, version_step),
                     )
                     .await;
                     sleep(Duration::from_millis(700)).await;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -52,13 +52,13 @@
 const MOST_SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Time to ask a peer for a snapshot.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(600);
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Interval at which peers are asked while the store does not answer.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Age of the list of targets above which peers are asked. The store is read more often than that.
-const LIST_AGE_LIMIT: Duration = Duration::from_millis(1200);
+const LIST_AGE_LIMIT: Duration = Duration::from_millis(1500);
 
 /// Peers that are asked at a time.
 const ASKED_PEERS: usize = 2;
@@ -283,11 +283,13 @@
     let targets = roster
         .iter()
         .map(|(_, target)| target_record(&target.entry));
-    let age = state.list_age(Instant::now()).as_millis();
+    let now = Instant::now();
+    let milliseconds = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     Snapshot {
         document,
         targets: targets.collect(),
-        list_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        list_age_ms: milliseconds(state.list_age(now)),
+        configuration_age_ms: milliseconds(state.configuration_age(now)),
     }
 }
 
@@ -356,7 +358,25 @@
     }
 }
 
-async fn ask(state: &GatewayState, peer: SocketAddr) -> Result<()> {
+/// Returns the gateway that reads the store for this one's zone; `None` if this one does.
+pub fn zone_reader(state: &GatewayState, now: Instant) -> Option<SocketAddr> {
+    let own = ipv4(state.options.peer_address.ip())?;
+    let reader = state
+        .peers
+        .borrow()
+        .zone_reader(&state.own_zone, own, now)?;
+    Some(SocketAddr::from((
+        reader,
+        state.options.peer_address.port(),
+    )))
+}
+
+/// Asks a peer what it knows, and takes over what is newer.
+///
+/// # Errors
+///
+/// Fails if the peer does not answer in time.
+pub async fn ask(state: &GatewayState, peer: SocketAddr) -> Result<()> {
     let revision = state.table().map_or(0, |table| table.revision);
     let asked_at = Instant::now();
     let exchange = async {
@@ -389,8 +409,13 @@
         let table = table.change_context(PeerError { step, peer })?;
         state.apply_table(table, snapshot.document, "peer");
     }
+    let ago = |age_ms| asked_at.checked_sub(Duration::from_millis(age_ms));
+    let configured_at = ago(snapshot.configuration_age_ms);
+    state
+        .configured_at
+        .set(state.configured_at.get().max(configured_at));
     // The peer's list counts from when the peer has read it.
-    let read_at = asked_at.checked_sub(Duration::from_millis(snapshot.list_age_ms));
+    let read_at = ago(snapshot.list_age_ms);
     let is_newer = match (read_at, state.listed_at.get()) {
         (Some(read_at), Some(listed_at)) => read_at > listed_at,
         (_, None) => true,
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -12,7 +12,7 @@
             demand_window::DemandWindow,
             free_group,
             map_plan::{PlanFigures, pass_is_slow, plan_change},
-            map_switch::RankControl,
+            map_switch::{RankControl, VERSION_PLACER_BITS},
             switch_map,
         },
         events::LogEvent::{GroupFreed, MapPlanned, MapSwitched},
@@ -58,7 +58,15 @@
 const STALL_LIMIT: Duration = Duration::from_millis(600);
 
 /// Additional silence for each gateway that comes before this one, so that one of them acts.
-const STALL_STEP: Duration = Duration::from_millis(300);
+const STALL_STEP: Duration = Duration::from_millis(200);
+
+/// Time after the start in which a gateway places nothing. It hears of its peers meanwhile; without
+/// them it would take itself for the placer of every group.
+const START_PAUSE: Duration = Duration::from_millis(1500);
+
+/// Time for which a placer only looks at a formation that is new to it. The placer before it may
+/// be in the middle of a change.
+const TAKEOVER_PAUSE: Duration = Duration::from_millis(700);
 
 /// Pause between two looks at a group that may be held. A group that goes on has begun another
 /// pass by then.
@@ -67,10 +75,6 @@
 /// Time that freeing a group may take.
 const FREE_LIMIT: Duration = Duration::from_secs(25);
 
-/// Bits of a version that are drawn at random by each placer, so that two placers never mean
-/// different maps by one version. The bits above them count.
-const VERSION_RANDOM_BITS: u32 = 16;
-
 /// What a placer knows about a group.
 #[derive(Debug)]
 struct PlacedGroup {
@@ -86,8 +90,9 @@
 struct Placer {
     groups: RefCell<HashMap<GroupName, PlacedGroup>>,
     busy: RefCell<HashMap<GroupName, Rc<Cell<bool>>>>,
-    /// Formations that this placer has looked at, to find those that were left held.
-    seen: RefCell<HashMap<GroupName, u64>>,
+    /// Formations that this placer has looked at, to find those that were left held, and when it
+    /// first did.
+    seen: RefCell<HashMap<GroupName, (u64, Instant)>>,
     draw: u64,
 }
 
@@ -103,11 +108,12 @@
 
 /// Follows the groups until the process ends.
 pub async fn follow_groups(state: Rc<GatewayState>) {
-    let draw = rand::random::<u64>() & ((1 << VERSION_RANDOM_BITS) - 1);
+    let draw = rand::random::<u64>() & ((1 << VERSION_PLACER_BITS) - 1);
     let placer = Rc::new(Placer {
         draw,
         ..Placer::default()
     });
+    let started_at = Instant::now();
     loop {
         sleep(REVIEW_INTERVAL).await;
         let Some(table) = state.table() else {
@@ -129,7 +135,11 @@
                 continue;
             };
             let (state, placer) = (Rc::clone(&state), Rc::clone(&placer));
-            let is_new = is_placer(&state, &name) && placer.is_first_look(&situation);
+            let places = started_at.elapsed() >= START_PAUSE && is_placer(&state, &name);
+            if !places {
+                placer.leave(&name);
+            }
+            let is_new = places && placer.is_first_look(&situation);
             if is_new || is_stalled(&state, &situation) {
                 busy.set(true);
                 tokio::task::spawn_local(async move {
@@ -139,7 +149,10 @@
                     }
                     busy.set(false);
                 });
-            } else if is_placer(&state, &name) && is_due(&state, &placer, &engine, &situation) {
+            } else if places
+                && placer.is_settled(&situation)
+                && is_due(&state, &placer, &engine, &situation)
+            {
                 busy.set(true);
                 tokio::task::spawn_local(async move {
                     review_group(&state, &placer, &engine, &experts, &situation).await;
@@ -155,7 +168,26 @@
     /// have left the group held.
     fn is_first_look(&self, situation: &GroupSituation) -> bool {
         let mut seen = self.seen.borrow_mut();
-        seen.insert(situation.name.clone(), situation.epoch) != Some(situation.epoch)
+        let known = seen.get(&situation.name);
+        if known.is_some_and(|(epoch, _)| *epoch == situation.epoch) {
+            return false;
+        }
+        let look = (situation.epoch, Instant::now());
+        seen.insert(situation.name.clone(), look);
+        true
+    }
+
+    /// Forgets a group that another gateway places now.
+    fn leave(&self, name: &GroupName) {
+        self.seen.borrow_mut().remove(name);
+        self.groups.borrow_mut().remove(name);
+    }
+
+    /// Returns whether this placer has known a formation long enough to change its map.
+    fn is_settled(&self, situation: &GroupSituation) -> bool {
+        let seen = self.seen.borrow();
+        let look = seen.get(&situation.name);
+        look.is_some_and(|(_, at)| at.elapsed() >= TAKEOVER_PAUSE)
     }
 }
 
@@ -398,8 +430,8 @@
 fn next_version(placer: &Placer, name: &GroupName) -> Option<u64> {
     let mut groups = placer.groups.borrow_mut();
     let group = groups.get_mut(name)?;
-    let count = (group.highest_version >> VERSION_RANDOM_BITS) + 1;
-    group.highest_version = (count << VERSION_RANDOM_BITS) | placer.draw;
+    let count = (group.highest_version >> VERSION_PLACER_BITS) + 1;
+    group.highest_version = (count << VERSION_PLACER_BITS) | placer.draw;
     Some(group.highest_version)
 }
 
@@ -474,8 +506,8 @@
             .filter_map(|status| status.armed.or(status.prepared))
             .max();
         let highest = statuses.iter().map(highest_version).max()?;
-        let count = (highest >> VERSION_RANDOM_BITS) + 1;
-        let fallback = map.with_version((count << VERSION_RANDOM_BITS) | placer.draw);
+        let count = (highest >> VERSION_PLACER_BITS) + 1;
+        let fallback = map.with_version((count << VERSION_PLACER_BITS) | placer.draw);
         let version = version.unwrap_or(highest);
         Some(free_group(engines, holder, pass, version, Arc::new(fallback)).await)
     };
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -1,7 +1,11 @@
 //! What a gateway learns from the platform's store: the operator's configuration and the targets.
+//!
+//! Calls to the store are priced, so one gateway of an availability zone reads it and the others
+//! ask that one. A gateway whose reader is silent, or knows only old things, reads the store itself
+//! at once.
 
 use {
-    super::state::GatewayState,
+    super::{peers, state::GatewayState},
     error_stack::Report,
     sassafrasslip_core::{
         events::LogEvent::{
@@ -17,9 +21,17 @@
     tokio::time::{Instant, sleep},
 };
 
-/// Longest wait of one call for a change. A channel that has gone silent is noticed after this
-/// time, which has to stay below the 2 s in which a change must be in force everywhere.
-const CHANGE_WAIT: Duration = Duration::from_millis(1500);
+/// Longest wait of one call for a change. It bounds the age of what the other gateways of the zone
+/// know while nothing changes.
+const CHANGE_WAIT: Duration = Duration::from_millis(800);
+
+/// Age of the reader's knowledge from which on a gateway reads the store itself. With the interval
+/// at which the reader is asked, a change is in force, and a target that leaves gets no more work,
+/// 1.6 s after the store has told it last; both have to happen within 2 s.
+const READER_AGE_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Interval at which it is checked whether the reader's knowledge is still new enough.
+const READER_CHECK: Duration = Duration::from_millis(100);
 
 /// Interval at which the instance list is read. A target that leaves must get no new work 2 s
 /// after the store knows; two reads may fail before that.
@@ -71,12 +83,21 @@
     let mut version: Option<StoreVersion> = None;
     let mut newest = 0;
     loop {
+        let now = Instant::now();
+        let has_reader = peers::zone_reader(&state, now).is_some();
+        if has_reader && state.configuration_age(now) < READER_AGE_LIMIT {
+            sleep(READER_CHECK).await;
+            continue;
+        }
         let step = follow_step(&state, &store, version, &mut newest).await;
         let now = Instant::now();
         match step {
             Ok(next) => {
                 dependency.answered(now);
                 version = next;
+                if version.is_some() {
+                    state.configured_at.set(Some(now));
+                }
             }
             Err(report) => {
                 state.metrics.store_failures.inc();
@@ -140,6 +161,10 @@
     let mut unreadable = HashMap::new();
     loop {
         let asked_at = Instant::now();
+        if ask_reader(&state, asked_at).await {
+            sleep(LIST_INTERVAL.saturating_sub(asked_at.elapsed())).await;
+            continue;
+        }
         match store.read_targets().await {
             Ok(listing) => {
                 let now = Instant::now();
@@ -166,3 +191,17 @@
         }
     }
 }
+
+/// Asks the gateway that reads the store for this zone; returns whether it knows enough.
+async fn ask_reader(state: &GatewayState, now: Instant) -> bool {
+    let Some(reader) = peers::zone_reader(state, now) else {
+        return false;
+    };
+    match peers::ask(state, reader).await {
+        Ok(()) => state.list_age(Instant::now()) < READER_AGE_LIMIT,
+        Err(report) => {
+            log::debug!("{}", crate::describe(&report));
+            false
+        }
+    }
+}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -49,6 +49,8 @@
     pub waiting: Notify,
     /// When the instance list was last read.
     pub listed_at: Cell<Option<Instant>>,
+    /// When the store last told that the configuration is current, itself or through a peer.
+    pub configured_at: Cell<Option<Instant>>,
     /// Other gateways.
     pub peers: RefCell<PeerTable>,
     /// Configuration document in force, for peers that cannot reach the store.
@@ -81,6 +83,7 @@
             lines: RefCell::default(),
             waiting: Notify::new(),
             listed_at: Cell::new(None),
+            configured_at: Cell::new(None),
             peers: RefCell::default(),
             document: RefCell::default(),
             group_limits: RefCell::default(),
@@ -295,6 +298,12 @@
         })
     }
 
+    /// Returns the time since the store last told that the configuration is current.
+    pub fn configuration_age(&self, now: Instant) -> Duration {
+        let configured_at = self.configured_at.get();
+        configured_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
     /// Counts a request of a caller toward the retry budget of its service.
     pub fn record_first_try(&self, service: &ServiceName, now: Instant) {
         let mut allowances = self.allowances.borrow_mut();
