--- a/crates/core/src/dispatch/map_switch.rs
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -24,7 +24,7 @@
 };
 
 /// Pause before an order that was not answered is given again.
-const REPEAT_PAUSE: Duration = Duration::from_millis(20);
+const REPEAT_PAUSE: Duration = Duration::from_millis(5);
 
 /// Time for arming. With every order answered it takes some milliseconds; after this time the
 /// change is undone, since a held pass stalls the group.
--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -33,10 +33,10 @@
 const LEAST_PER_RANK: f64 = 2.0;
 
 /// Prompts that a group reads in one pass at most, for each rank. At a usual load it is a quarter.
-const PROMPTS_PER_RANK: f64 = 0.6;
+const PROMPTS_PER_RANK: f64 = 0.4;
 
 /// Factor by which a gateway may exceed its share of the starts.
-const SHARE_SLACK: f64 = 1.6;
+const SHARE_SLACK: f64 = 1.3;
 
 /// Starts that a gateway may make at once after a quiet time.
 const BURST_STARTS: f64 = 2.0;
--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -15,7 +15,7 @@
 
 /// Silence after which a peer's requests in flight no longer count. Three of its slowest reports
 /// are missing by then.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
+const SILENCE_LIMIT: Duration = Duration::from_millis(1300);
 
 /// Time for which a silent peer still counts as a sharer of the retry budget. It may only be cut
 /// off from here while it goes on sending to targets.
@@ -40,6 +40,8 @@
     pub loads: Vec<PeerLoad>,
     /// Whether the peer takes no more requests.
     pub leaving: bool,
+    /// Whether the peer has run long enough to place experts.
+    pub settled: bool,
 }
 
 #[derive(Debug)]
@@ -129,6 +131,28 @@
         serving.map(|(address, _)| *address)
     }
 
+    /// Returns whether a live peer has run long enough to place experts.
+    pub fn has_settled(&self, now: Instant) -> bool {
+        self.serving_peers(now).any(|(_, peer)| peer.report.settled)
+    }
+
+    /// Returns the live peers that may place experts: those that have run for long, or all of them
+    /// if neither this gateway nor a peer has.
+    pub fn placers(&self, own_settled: bool, now: Instant) -> Vec<Ipv4Addr> {
+        let some_settled = own_settled || self.has_settled(now);
+        let placers = self.serving_peers(now);
+        let placers = placers.filter(|(_, peer)| peer.report.settled || !some_settled);
+        placers.map(|(address, _)| *address).collect()
+    }
+
+    fn serving_peers(&self, now: Instant) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
+        let live = self
+            .peers
+            .iter()
+            .filter(move |(_, peer)| is_live(peer, now));
+        live.filter(|(_, peer)| !peer.report.leaving)
+    }
+
     /// Returns the gateway that reads the store for the zone, if it is not the one at `own`: the
     /// live one with the lowest address.
     pub fn zone_reader(&self, zone: &ZoneName, own: Ipv4Addr, now: Instant) -> Option<Ipv4Addr> {
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -343,6 +343,7 @@
         availability_zone: Some(zone("ruwi")),
         loads: vec![(1, in_flight)],
         leaving: false,
+        settled: false,
     }
 }
 
@@ -367,3 +368,36 @@
     assert_eq!(peers.sharers(later), 2);
     assert_eq!(peers.sharers(now + Duration::from_secs(13)), 1);
 }
+
+/// While gateways are started again one after the other, the ones that have run for long place.
+#[test]
+fn placers_are_gateways_that_have_run_for_long() {
+    let (old, new) = (Ipv4Addr::new(10, 0, 0, 2), Ipv4Addr::new(10, 0, 0, 3));
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    peers.record(new, report(1, 1, 0), now);
+    assert_eq!(peers.placers(false, now), vec![new]);
+    assert!(peers.placers(true, now).is_empty());
+    let settled = PeerReport {
+        settled: true,
+        ..report(1, 1, 0)
+    };
+    peers.record(old, settled, now);
+    assert_eq!(peers.placers(false, now), vec![old]);
+}
+
+#[test]
+fn lowest_live_gateway_of_a_zone_reads_the_store() {
+    let address = |last| Ipv4Addr::new(10, 0, 0, last);
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    peers.record(address(4), report(1, 1, 0), now);
+    assert_eq!(
+        peers.zone_reader(&zone("ruwi"), address(9), now),
+        Some(address(4))
+    );
+    assert_eq!(peers.zone_reader(&zone("ruwi"), address(2), now), None);
+    assert_eq!(peers.zone_reader(&zone("seeb"), address(9), now), None);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(peers.zone_reader(&zone("ruwi"), address(9), later), None);
+}
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -21,13 +21,17 @@
             decode_order_outcome, decode_picks, decode_report, encode_order,
         },
     },
-    std::{cell::RefCell, net::SocketAddr, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
 /// Time for an answer of an engine. It answers in some milliseconds; an order that is not answered
-/// by then is given again.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(70);
+/// by then is given again. A held group waits for the slowest of its orders.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(35);
 
 /// Largest answer of an engine, in bytes: the counts of some thousand experts.
 const MOST_ANSWER_BYTES: usize = 1024 * 1024;
@@ -50,6 +54,7 @@
     /// Number of the formation.
     pub epoch: u64,
     seats: Vec<EngineSeat>,
+    unanswered: Cell<u32>,
 }
 
 impl GroupEngines {
@@ -64,9 +69,15 @@
             group,
             epoch,
             seats: seats.collect(),
+            unanswered: Cell::new(0),
         }
     }
 
+    /// Returns the orders that were not answered.
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered.get()
+    }
+
     /// Reads the report of a rank; `None` if it does not answer or is in another formation.
     pub async fn status(&self, rank: RankIndex) -> Option<RankStatus> {
         let body = self.get(rank, REPORT_PATH).await?;
@@ -165,6 +176,9 @@
                 OrderOutcome::Refused
             }
         };
+        if outcome == OrderOutcome::Unanswered {
+            self.unanswered.set(self.unanswered.get() + 1);
+        }
         log_event!(
             OrderGiven,
             group = self.group,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -178,6 +178,7 @@
         in_flight,
         gateways: Vec::new(),
         leaving: state.leaving.get(),
+        settled: state.is_settled(Instant::now()),
     }
 }
 
@@ -221,6 +222,7 @@
         availability_zone: report.availability_zone.parse().ok(),
         loads,
         leaving: report.leaving,
+        settled: report.settled,
     };
     let is_new = peers.record(address, report, now);
     drop(peers);
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -53,6 +53,9 @@
 /// Passes between the estimate of the current pass and the one that is held.
 const PASS_MARGIN: u64 = 1;
 
+/// The same while some orders are not answered.
+const LOSSY_PASS_MARGIN: u64 = 3;
+
 /// Silence of all ranks of a group after which it may be held by a placer that is gone. Changes
 /// hold a pass for some milliseconds.
 const STALL_LIMIT: Duration = Duration::from_millis(600);
@@ -66,7 +69,7 @@
 
 /// Time for which a placer only looks at a formation that is new to it. The placer before it may
 /// be in the middle of a change.
-const TAKEOVER_PAUSE: Duration = Duration::from_millis(700);
+const TAKEOVER_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pause between two looks at a group that may be held. A group that goes on has begun another
 /// pass by then.
@@ -113,7 +116,6 @@
         draw,
         ..Placer::default()
     });
-    let started_at = Instant::now();
     loop {
         sleep(REVIEW_INTERVAL).await;
         let Some(table) = state.table() else {
@@ -135,7 +137,7 @@
                 continue;
             };
             let (state, placer) = (Rc::clone(&state), Rc::clone(&placer));
-            let places = started_at.elapsed() >= START_PAUSE && is_placer(&state, &name);
+            let places = state.started_at.elapsed() >= START_PAUSE && is_placer(&state, &name);
             if !places {
                 placer.leave(&name);
             }
@@ -260,10 +262,17 @@
         key.extend(address.octets());
         xxh3_64(&key)
     };
-    let own = weight(own_address(state));
+    let now = Instant::now();
+    let is_settled = state.is_settled(now);
     let peers = state.peers.borrow();
-    let mut others = peers.serving(Instant::now());
-    !state.leaving.get() && others.all(|address| weight(address) < own)
+    if state.leaving.get() || (!is_settled && peers.has_settled(now)) {
+        return false;
+    }
+    let own = weight(own_address(state));
+    peers
+        .placers(is_settled, now)
+        .into_iter()
+        .all(|address| weight(address) < own)
 }
 
 /// Returns whether the passes of a group are so slow that its map is worth a look.
@@ -326,7 +335,14 @@
         let status = engines.status(0).await?;
         let pause = state.mean_pause(&situation.name)?.as_secs_f64();
         let since = engine.report_age.as_secs_f64() / pause.max(0.001);
-        Some(status.pass + since.ceil() as u64 + PASS_MARGIN)
+        // Orders that have to be given again take longer than a pass, in which the group would
+        // wait.
+        let margin = if engines.unanswered() > 0 {
+            LOSSY_PASS_MARGIN
+        } else {
+            PASS_MARGIN
+        };
+        Some(status.pass + since.ceil() as u64 + margin)
     };
     let result = switch_map(
         engines,
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -30,6 +30,9 @@
 /// Weight of the newest time to a first answer in the running mean.
 const FIRST_ANSWER_WEIGHT: f64 = 0.05;
 
+/// Time after its start from which on a gateway is preferred as a placer.
+const SETTLED_AFTER: Duration = Duration::from_secs(8);
+
 /// Shared state of a gateway.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -57,6 +60,8 @@
     pub document: RefCell<Bytes>,
     /// Most requests of groups whose passes would take too long with all slots full.
     pub group_limits: RefCell<HashMap<GroupName, u32>>,
+    /// When the gateway started.
+    pub started_at: Instant,
     /// Whether the process has been told to stop.
     pub leaving: Cell<bool>,
     governors: RefCell<HashMap<GroupName, PassGovernor>>,
@@ -87,6 +92,7 @@
             peers: RefCell::default(),
             document: RefCell::default(),
             group_limits: RefCell::default(),
+            started_at: Instant::now(),
             leaving: Cell::new(false),
             governors: RefCell::default(),
             pacers: RefCell::default(),
@@ -285,6 +291,12 @@
         }
     }
 
+    /// Returns whether the gateway has run long enough to place experts. While gateways are started
+    /// again one after the other, each change of placer would cost some changes of maps.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started_at) >= SETTLED_AFTER
+    }
+
     /// Returns whether the gateway knows enough to serve requests.
     pub fn is_informed(&self) -> bool {
         self.table.borrow().is_some() && !self.roster.borrow().is_empty()
