--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -111,7 +111,7 @@
         expire(&state, now);
         let mut report = own_report(&state, incarnation, tick);
         let is_idle = report.targets.is_empty();
-        let gossips = tick.is_multiple_of(REPORTS_PER_GOSSIP);
+        let gossips = state.gossips.take() || tick.is_multiple_of(REPORTS_PER_GOSSIP);
         if gossips {
             report.gateways = state
                 .peers
@@ -122,7 +122,8 @@
                 .collect();
         }
         // A report that says that nothing is left in flight matters as much as one of load.
-        let is_due = !(is_idle && was_idle) || tick.is_multiple_of(REPORTS_PER_HEARTBEAT);
+        let is_due =
+            gossips || !(is_idle && was_idle) || tick.is_multiple_of(REPORTS_PER_HEARTBEAT);
         was_idle = is_idle;
         if !is_due {
             continue;
@@ -227,6 +228,7 @@
     let is_new = peers.record(address, report, now);
     drop(peers);
     if is_new {
+        state.gossips.set(true);
         log_event!(PeerChanged, peer = address, state = "joined");
     }
     state.recount_peers(now);
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -65,11 +65,11 @@
 
 /// Time after the start in which a gateway places nothing. It hears of its peers meanwhile; without
 /// them it would take itself for the placer of every group.
-const START_PAUSE: Duration = Duration::from_millis(1500);
+const START_PAUSE: Duration = Duration::from_millis(800);
 
 /// Time for which a placer only looks at a formation that is new to it. The placer before it may
 /// be in the middle of a change.
-const TAKEOVER_PAUSE: Duration = Duration::from_millis(500);
+const TAKEOVER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause between two looks at a group that may be held. A group that goes on has begun another
 /// pass by then.
@@ -331,8 +331,12 @@
     let fallback_version = next_version(placer, &situation.name)?;
     let planned = planned.with_version(version);
     let loading = experts.load_time * u32::try_from(figures.loads_per_rank).unwrap_or(u32::MAX);
+    let known_version = map.version();
     let next_pass = async {
-        let status = engines.status(0).await?;
+        let status = engines
+            .status(0)
+            .await
+            .filter(|status| status.map == known_version)?;
         let pause = state.mean_pause(&situation.name)?.as_secs_f64();
         let since = engine.report_age.as_secs_f64() / pause.max(0.001);
         // Orders that have to be given again take longer than a pass, in which the group would
@@ -366,11 +370,11 @@
             groups.get_mut(&situation.name)?.map = planned;
             state.metrics.map_changes.inc();
         }
-        // What the ranks hold is read anew before the next change.
-        SwitchResult::Abandoned => {
+        // Another placer may have changed the map meanwhile. What the ranks hold is read anew
+        // before the next change.
+        SwitchResult::Abandoned | SwitchResult::NotStarted(_) | SwitchResult::Undone(_) => {
             groups.remove(&situation.name);
         }
-        SwitchResult::NotStarted(_) | SwitchResult::Undone(_) => {}
     }
     Some(())
 }
@@ -408,11 +412,12 @@
     let engines = &situation.engines;
     let statuses = all_statuses(engines).await?;
     let highest_version = statuses.iter().map(highest_version).max()?;
-    let is_untouched = statuses.iter().all(|status| status.map == 0);
-    let map = if is_untouched {
+    let version = statuses.first()?.map;
+    let map = if version == 0 {
         ExpertMap::dealt_in_turn(0, experts.sets, experts.experts, engines.ranks())
     } else {
-        engines.map_in_use(experts.sets, experts.experts).await?
+        let map = engines.map_in_use(experts.sets, experts.experts).await?;
+        map.with_version(version)
     };
     let group = PlacedGroup {
         epoch: situation.epoch,
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -56,6 +56,8 @@
     pub configured_at: Cell<Option<Instant>>,
     /// Other gateways.
     pub peers: RefCell<PeerTable>,
+    /// Whether the next load report names the known gateways, because a new one has reported.
+    pub gossips: Cell<bool>,
     /// Configuration document in force, for peers that cannot reach the store.
     pub document: RefCell<Bytes>,
     /// Most requests of groups whose passes would take too long with all slots full.
@@ -90,6 +92,7 @@
             listed_at: Cell::new(None),
             configured_at: Cell::new(None),
             peers: RefCell::default(),
+            gossips: Cell::new(false),
             document: RefCell::default(),
             group_limits: RefCell::default(),
             started_at: Instant::now(),
