--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -30,6 +30,9 @@
 /// Weight of the newest time to a first answer in the running mean.
 const FIRST_ANSWER_WEIGHT: f64 = 0.05;
 
+/// Change of a group's bound from which on it is logged, as a share.
+const LOGGED_CHANGE: f64 = 0.1;
+
 /// Time after its start from which on a gateway is preferred as a placer.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 
@@ -68,6 +71,8 @@
     pub leaving: Cell<bool>,
     governors: RefCell<HashMap<GroupName, PassGovernor>>,
     pacers: RefCell<HashMap<GroupName, StartPacer>>,
+    /// Bounds of groups as they were logged last.
+    logged_limits: RefCell<HashMap<GroupName, u32>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Running mean of the time from sending a request to its first answer.
@@ -99,6 +104,7 @@
             leaving: Cell::new(false),
             governors: RefCell::default(),
             pacers: RefCell::default(),
+            logged_limits: RefCell::default(),
             table: RefCell::default(),
             allowances: RefCell::default(),
             first_answers: RefCell::default(),
@@ -153,6 +159,24 @@
         self.roster.borrow_mut().set_peer_loads(peers.loads(now));
     }
 
+    /// Logs the bound of a group if it has changed much since it was logged last.
+    fn log_bound(&self, group: &GroupName, governor: &PassGovernor, in_flight: u32) {
+        let limit = governor.limit().unwrap_or_default();
+        let mut logged = self.logged_limits.borrow_mut();
+        let last = logged.get(group).copied().unwrap_or_default();
+        if f64::from(limit.abs_diff(last)) <= f64::from(last) * LOGGED_CHANGE {
+            return;
+        }
+        logged.insert(group.clone(), limit);
+        log_event!(
+            GroupBounded,
+            group = group,
+            limit = limit,
+            in_flight = in_flight,
+            pause_ms = governor.mean_pause().unwrap_or_default().as_millis()
+        );
+    }
+
     /// Returns the bounds of groups, which are zero for groups in which this gateway may not start
     /// a request yet.
     pub fn paced_limits(&self, now: Instant) -> HashMap<GroupName, u32> {
@@ -229,13 +253,7 @@
         if !governor.update(engine, &load, Instant::now()) {
             return;
         }
-        log_event!(
-            GroupBounded,
-            group = seat.name,
-            limit = governor.limit().unwrap_or_default(),
-            in_flight = load.in_flight,
-            pause_ms = governor.mean_pause().unwrap_or_default().as_millis()
-        );
+        self.log_bound(&seat.name, governor, load.in_flight);
         let own = roster.own_group_load(&seat.name).max(1);
         let share = f64::from(own) / f64::from(load.in_flight.max(own));
         let mut pacers = self.pacers.borrow_mut();
--- a/crates/daemon/tests/valid_settings.rs
+++ b/crates/daemon/tests/valid_settings.rs
@@ -32,6 +32,7 @@
 test_cases! {
     fn check_sample(command: &str, name: &str);
     entry_is_valid: ("entry", "entry.ini");
+    gateway_is_valid: ("gateway", "gateway.ini");
     agent_of_a_model_is_valid: ("agent", "agent_model.ini");
     agent_of_a_plain_service_is_valid: ("agent", "agent_plain.ini");
 }
@@ -53,6 +54,7 @@
 test_cases! {
     fn check_comments(command: &str, name: &str);
     entry_comments_show_the_defaults: ("entry", "entry.ini");
+    gateway_comments_show_the_defaults: ("gateway", "gateway.ini");
     model_comments_show_the_defaults: ("agent", "agent_model.ini");
     plain_comments_show_the_defaults: ("agent", "agent_plain.ini");
 }
