Tell the target itself from another one in a rejection

Cause: a target names itself by its address when it is full; the gateway compared that with its name, took it for another rank and counted the whole group as broken until the next answer. Change: names and addresses are compared; refusals while a group misses a rank say so and when to come back.

--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -68,6 +68,11 @@
 }
 
 impl TargetEntry {
+    /// Returns whether an answer that names a target by its name or its address means this one.
+    pub fn is_named(&self, name: &str) -> bool {
+        name == &*self.id || name.parse() == Ok(self.address)
+    }
+
     /// Returns the hash by which gateways name the target to each other.
     pub fn name_hash(&self) -> u32 {
         xxh3_64(self.id.as_bytes()) as u32
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -206,6 +206,17 @@
     ));
 }
 
+/// A full target names itself, by its address, when it rejects a request. Taken for another one, it
+/// once made its whole group count as broken.
+#[test]
+fn target_is_known_by_its_name_and_its_address() {
+    let target = entry("one", "ruwi");
+    assert!(target.is_named("one"));
+    assert!(target.is_named("10.0.0.1:80"));
+    assert!(!target.is_named("10.0.0.2:80"));
+    assert!(!target.is_named("two"));
+}
+
 /// Entries lapse while the store is away and are back within two seconds of its return.
 #[test]
 fn lapsed_entries_are_kept_for_a_while_after_an_outage() {
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -180,11 +180,15 @@
         let Some(line) = lines.get_mut(service).filter(|line| !line.is_empty()) else {
             return;
         };
-        start_waiting(state, service, line, now, &mut outcomes);
-        for (key, refusal) in line.line.refuse_hopeless(now) {
+        let is_broken = start_waiting(state, service, line, now, &mut outcomes);
+        for (key, mut refusal) in line.line.refuse_hopeless(now) {
             if let Some(waiter) = line.waiters.remove(key) {
                 state.metrics.waiting.dec();
-                let reason = "no target in time";
+                let mut reason = "no target in time";
+                if is_broken {
+                    refusal.retry_after = BROKEN_GROUP_RETURN;
+                    reason = "group misses a rank";
+                }
                 let refusal = AdmissionRefusal { refusal, reason };
                 outcomes.push((waiter, Err(refusal)));
             }
@@ -196,13 +200,15 @@
     }
 }
 
+/// Starts the requests for which there is a target; returns whether the groups of all targets miss
+/// a rank.
 fn start_waiting(
     state: &Rc<GatewayState>,
     service: &ServiceName,
     line: &mut ServiceLine,
     now: Instant,
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
-) {
+) -> bool {
     for key in line.line.order(now) {
         let group_limits = state.paced_limits(now);
         let tried = line.waiters.get(key).map(|waiter| waiter.tried.as_slice());
@@ -224,13 +230,14 @@
             }
             TargetChoice::GroupBroken => {
                 refuse_returning(state, line, outcomes);
-                break;
+                return true;
             }
             // Only the targets that this request has tried may be free.
             TargetChoice::Full if !input.tried.is_empty() => {}
             _ => break,
         }
     }
+    false
 }
 
 /// Refuses the requests whose callers can come back. A group forms again within seconds, which is
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -215,7 +215,7 @@
         let status = answer.parts.status;
         let error = AttemptError {
             failure: AttemptFailure::NotRun,
-            blames_target: head.is_other_target || head.faulty_target.is_some(),
+            blames_target: head.is_other_target,
             faulty_target: head.faulty_target.clone(),
             fault: format!("target rejected the request with {status}"),
         };
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -355,9 +355,15 @@
     }
 
     fn note_failure(&self, key: TargetKey, error: &AttemptError, now: Instant) {
-        let own_name = self.target_name(key);
-        let is_other = |name: &String| Some(name.as_str()) != own_name.as_deref();
-        if error.faulty_target.as_ref().is_some_and(is_other) {
+        let names_another = {
+            let roster = self.state.roster.borrow();
+            let entry = roster.get(key).map(|target| &target.entry);
+            let faulty = error.faulty_target.as_deref();
+            entry
+                .zip(faulty)
+                .is_some_and(|(entry, faulty)| !entry.is_named(faulty))
+        };
+        if names_another {
             self.state.note_broken_group(key);
         } else if error.blames_target {
             self.state.record_failure(key, now);
