--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -67,6 +67,13 @@
     accept(arguments.listen, arguments.target, receiver).await
 }
 
+/// Starts a relay in the running program; the switch changes what it does.
+pub fn spawn(listen: SocketAddr, target: SocketAddr) -> watch::Sender<RelaySwitch> {
+    let (sender, receiver) = watch::channel(RelaySwitch::default());
+    tokio::spawn(accept(listen, target, receiver));
+    sender
+}
+
 /// Accepts connections; while they are refused, nothing listens on the address.
 async fn accept(
     listen: SocketAddr,
