Keep a target that reports failures of its own

Change: a failure that the target reports only makes others preferred. The test fails without the change.

--- a/crates/core/src/dispatch/target_health.rs
+++ b/crates/core/src/dispatch/target_health.rs
@@ -52,11 +52,11 @@
         true
     }
 
-    /// Leaves the target out until a time, whatever its answers were.
-    pub fn eject_until(&mut self, until: Instant) {
-        self.failures_in_row = self.failures_in_row.max(FAILURES_TO_EJECT);
-        self.ejected_until = Some(until);
-        self.is_on_trial = false;
+    /// Records an answer in which the target reports a failure of its own. It is alive, so that it
+    /// is not left out; others are preferred while its share of failures is higher.
+    pub fn record_error_answer(&mut self) {
+        self.record_success();
+        self.failure_share += (1.0 - self.failure_share) * NEWEST_WEIGHT;
     }
 
     /// Notes that a request is sent.
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -273,6 +273,24 @@
     assert_eq!(choose(&roster, &none, later), TargetChoice::Chosen(key));
 }
 
+/// A service fails one request in seven by itself. With one target left, leaving that out for each
+/// pair of failures made a gateway refuse requests (incident inc-241f of kamys-lanes).
+#[test]
+fn failures_that_a_target_reports_do_not_leave_it_out() {
+    let now = Instant::now();
+    let mut roster = TargetRoster::default();
+    roster.apply(vec![entry("one", "ruwi"), entry("two", "seeb")], now);
+    let (one, two) = (roster.find("one").unwrap(), roster.find("two").unwrap());
+    let none = HashMap::new();
+    for _ in 0..5 {
+        roster.get_mut(one).unwrap().health.record_error_answer();
+    }
+    assert!(roster.get(one).unwrap().health.is_usable(now));
+    assert_eq!(choose(&roster, &none, now), TargetChoice::Chosen(two));
+    roster.get_mut(two).unwrap().own_in_flight = 4;
+    assert_eq!(choose(&roster, &none, now), TargetChoice::Chosen(one));
+}
+
 const ONCE: FailureContext = FailureContext {
     repeat: RepeatRule::Once,
     runs: 0,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -396,7 +396,11 @@
         response.headers_mut().remove(CONTENT_LENGTH);
         *response.status_mut() = status;
         if status.is_server_error() && self.matched.route.repeat.is_repeatable() {
-            let error = AttemptError::broken(format!("target failed with {status}"));
+            self.state.record_error_answer(key);
+            let error = AttemptError {
+                blames_target: false,
+                ..AttemptError::broken(format!("target failed with {status}"))
+            };
             if self.after_failure(&error).is_continue() {
                 return Ok(ControlFlow::Continue(response));
             }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -404,6 +404,13 @@
         self.note_changes(&changes, "answer");
     }
 
+    /// Records an answer in which a target reports a failure of its own.
+    pub fn record_error_answer(&self, key: TargetKey) {
+        if let Some(target) = self.roster.borrow_mut().get_mut(key) {
+            target.health.record_error_answer();
+        }
+    }
+
     /// Records a failed attempt; leaves the target out for a while after several in a row.
     pub fn record_failure(&self, key: TargetKey, now: Instant) {
         let mut roster = self.roster.borrow_mut();
