--- a/crates/testkit/tests/promise_p5.rs
+++ b/crates/testkit/tests/promise_p5.rs
@@ -57,11 +57,23 @@
     assert!(later.is_some() && later == base, "{base:?}, then {later:?}");
 }
 
-async fn check_load(load: JoinHandle<LoadSummary>) {
+/// Returns the first and the last refusals in the log of the entry.
+fn refusals(fleet: &Fleet) -> String {
+    let log = fleet.entries[0].process.log();
+    let refused: Vec<_> = log
+        .lines()
+        .filter(|line| line.contains("RequestRefused"))
+        .collect();
+    let shown = refused.iter().take(2).chain(refused.iter().rev().take(2));
+    shown.copied().collect::<Vec<_>>().join("\n")
+}
+
+async fn check_load(fleet: &Fleet, load: JoinHandle<LoadSummary>) {
     let summary = load.await.unwrap();
     assert!(summary.is_clean() && summary.cut == 0, "{summary}");
     assert!(summary.answered > 50, "{summary}");
-    assert_eq!(summary.answered, summary.requests, "{summary}");
+    let refused = refusals(fleet);
+    assert_eq!(summary.answered, summary.requests, "{summary}\n{refused}");
 }
 
 async fn list(fleet: &Fleet, state: ListedState) {
@@ -92,7 +104,7 @@
         assert!(admitted(&fleet, LEAVING).await > Some(0));
         list(&fleet, ListedState::Leaving).await;
         check_no_new_work(&fleet).await;
-        check_load(load).await;
+        check_load(&fleet, load).await;
     });
 }
 
@@ -133,7 +145,7 @@
         let process = &mut fleet.agents[leaving].process;
         let status = process.wait_exit(Duration::from_secs(5)).await.unwrap();
         assert!(status.success(), "{status}");
-        check_load(load).await;
+        check_load(&fleet, load).await;
     });
 }
 
@@ -151,7 +163,7 @@
         let answer = client().post(operator, &path, &body).await.unwrap();
         assert_eq!(answer.status, 200);
         check_no_new_work(&fleet).await;
-        check_load(load).await;
+        check_load(&fleet, load).await;
         body["draining"] = false.into();
         let answer = client().post(operator, &path, &body).await.unwrap();
         assert_eq!(answer.status, 200);
@@ -161,6 +173,6 @@
             admitted(&fleet, LEAVING).await > base
         })
         .await;
-        check_load(load).await;
+        check_load(&fleet, load).await;
     });
 }
