--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -5,6 +5,7 @@
 pub mod channels;
 pub mod engines;
 pub mod exchange;
+pub mod group_bounds;
 pub mod metrics;
 pub mod peers;
 pub mod placer;
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -10,7 +10,7 @@
         ids::ServiceName,
     },
     slotmap::SecondaryMap,
-    std::{collections::HashMap, rc::Rc, result, time::Duration},
+    std::{rc::Rc, result, time::Duration},
     tokio::{
         sync::oneshot,
         time::{Instant, sleep},
@@ -84,11 +84,6 @@
 }
 
 impl ServiceLine {
-    /// Returns the number of waiting requests.
-    pub fn len(&self) -> usize {
-        self.line.len()
-    }
-
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.line.is_empty()
@@ -210,7 +205,7 @@
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
 ) -> bool {
     for key in line.line.order(now) {
-        let group_limits = state.paced_limits(now);
+        let group_limits = state.bounds.borrow_mut().limits(now);
         let tried = line.waiters.get(key).map(|waiter| waiter.tried.as_slice());
         let input = ChoiceInput {
             service,
@@ -272,12 +267,3 @@
         key,
     }
 }
-
-/// Returns the number of waiting requests of each service.
-pub fn waiting_counts(state: &GatewayState) -> HashMap<ServiceName, usize> {
-    let lines = state.lines.borrow();
-    let counts = lines
-        .iter()
-        .map(|(service, line)| (service.clone(), line.len()));
-    counts.collect()
-}
--- a/crates/daemon/src/gateway/channels.rs
+++ b/crates/daemon/src/gateway/channels.rs
@@ -135,8 +135,14 @@
         channels.pop_back().map(|idle| idle.channel)
     }
 
-    /// Keeps a channel whose answer has been read to its end.
-    pub fn put(&self, key: TargetKey, channel: TargetChannel, announced: Option<Duration>) {
+    /// Keeps a channel whose answer has been read to its end, unless the target has `most` already.
+    pub fn put(
+        &self,
+        key: TargetKey,
+        channel: TargetChannel,
+        announced: Option<Duration>,
+        most: usize,
+    ) {
         let mut idle = self.idle.borrow_mut();
         let Some(channels) = idle.entry(key).map(slotmap::secondary::Entry::or_default) else {
             return;
@@ -146,7 +152,7 @@
             since: Instant::now(),
             limit: idle_limit(announced),
         });
-        if channels.len() > KEPT_PER_TARGET {
+        if channels.len() > most.min(KEPT_PER_TARGET) {
             channels.pop_front();
         }
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -141,7 +141,7 @@
         let body = body.map_err(|_| AttemptError::broken("answer is late"))?;
         let body = body.map_err(|error| AttemptError::broken(error.to_string()))?;
         if is_kept {
-            state.channels.put(lease.key, channel, head.idle_timeout);
+            state.keep_channel(lease.key, channel, head.idle_timeout);
         }
         Ok((parts, body.to_bytes()))
     }
@@ -149,9 +149,7 @@
     /// Keeps the channel after the last bytes were read.
     pub fn finish(self, state: &GatewayState) {
         if self.is_kept {
-            state
-                .channels
-                .put(self.lease.key, self.channel, self.head.idle_timeout);
+            state.keep_channel(self.lease.key, self.channel, self.head.idle_timeout);
         }
     }
 }
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -4,21 +4,27 @@
 //! address. Two gateways may believe to be it for a while; the order of steps of a change keeps
 //! the maps of all ranks the same even then.
 
+mod demand;
+mod recovery;
+
 use {
+    self::{
+        demand::sample,
+        recovery::{free_if_held, is_stalled},
+    },
     super::{engines::GroupEngines, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
             EngineProfile, ExpertProfile, SwitchResult, TargetState,
             demand_window::DemandWindow,
-            free_group,
             map_plan::{PlanFigures, pass_is_slow, plan_change},
             map_switch::{RankControl, VERSION_PLACER_BITS},
             switch_map,
         },
-        events::LogEvent::{GroupFreed, MapPlanned, MapSwitched},
+        events::LogEvent::{MapPlanned, MapSwitched},
         ids::{GroupName, ServiceName},
         log_event,
-        placement::{ExpertCounts, ExpertMap},
+        placement::ExpertMap,
     },
     sassafrasslip_platform::RankStatus,
     std::{
@@ -36,14 +42,6 @@
 /// Interval at which groups are looked at.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Time over which the choices of experts are sampled. A rank makes some thousand choices in it,
-/// which show the hottest experts well.
-const SAMPLE_TIME: Duration = Duration::from_millis(100);
-
-/// Ranks whose choices are sampled. Reading counts from another instance is priced, and requests
-/// are spread evenly over the ranks.
-const SAMPLED_RANKS: usize = 2;
-
 /// Pause after a change or a sample that led to none.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 
@@ -56,13 +54,6 @@
 /// The same while some orders are not answered.
 const LOSSY_PASS_MARGIN: u64 = 3;
 
-/// Silence of all ranks of a group after which it may be held by a placer that is gone. Changes
-/// hold a pass for some milliseconds.
-const STALL_LIMIT: Duration = Duration::from_millis(600);
-
-/// Additional silence for each gateway that comes before this one, so that one of them acts.
-const STALL_STEP: Duration = Duration::from_millis(200);
-
 /// Time after the start in which a gateway places nothing. It hears of its peers meanwhile; without
 /// them it would take itself for the placer of every group.
 const START_PAUSE: Duration = Duration::from_millis(800);
@@ -71,10 +62,6 @@
 /// be in the middle of a change.
 const TAKEOVER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Pause between two looks at a group that may be held. A group that goes on has begun another
-/// pass by then.
-const HELD_RECHECK: Duration = Duration::from_millis(150);
-
 /// Time that freeing a group may take.
 const FREE_LIMIT: Duration = Duration::from_secs(25);
 
@@ -455,114 +442,3 @@
     group.highest_version = (count << VERSION_PLACER_BITS) | placer.draw;
     Some(group.highest_version)
 }
-
-/// Samples how often the requests of some ranks choose each expert. While the demand stays as it
-/// was, the window reaches back to the sample that first showed it.
-async fn sample(
-    placer: &Placer,
-    situation: &GroupSituation,
-    experts: &ExpertProfile,
-) -> Option<ExpertCounts> {
-    let engines = &situation.engines;
-    let ranks = sampled_ranks(&situation.name, engines.ranks());
-    let before = read_picks(engines, &ranks).await?;
-    sleep(SAMPLE_TIME).await;
-    let after = read_picks(engines, &ranks).await?;
-    let mut groups = placer.groups.borrow_mut();
-    let window = &mut groups.get_mut(&situation.name)?.demand;
-    window.observe(experts.sets, experts.experts, before, after)
-}
-
-/// Returns the ranks whose choices are sampled, the same ones each time.
-fn sampled_ranks(name: &GroupName, ranks: usize) -> Vec<usize> {
-    let first = xxh3_64(name.as_str().as_bytes()) as usize % ranks.max(1);
-    let sampled = SAMPLED_RANKS.min(ranks);
-    let step = ranks / sampled.max(1);
-    (0..sampled)
-        .map(|index| (first + index * step) % ranks)
-        .collect()
-}
-
-async fn read_picks(engines: &GroupEngines, ranks: &[usize]) -> Option<Vec<u64>> {
-    let picks = ranks.iter().map(|rank| engines.picks(*rank));
-    let picks = futures_util::future::join_all(picks).await;
-    let mut sums: Vec<u64> = Vec::new();
-    for picks in picks {
-        let counts = picks?.counts;
-        sums.resize(counts.len(), 0);
-        sums.iter_mut()
-            .zip(counts)
-            .for_each(|(sum, count)| *sum += count);
-    }
-    Some(sums)
-}
-
-/// Returns whether no rank of a group has sent an event for long although requests run there.
-fn is_stalled(state: &GatewayState, situation: &GroupSituation) -> bool {
-    let Some(progress_at) = situation.progress_at.filter(|_| situation.has_own_requests) else {
-        return false;
-    };
-    let own = own_address(state);
-    let peers = state.peers.borrow();
-    let before = peers
-        .serving(Instant::now())
-        .filter(|address| *address < own)
-        .count();
-    let limit = STALL_LIMIT + STALL_STEP * u32::try_from(before).unwrap_or(u32::MAX);
-    progress_at.elapsed() >= limit
-}
-
-/// Frees a group if a placer has left it held.
-async fn free_if_held(placer: &Placer, situation: &GroupSituation, experts: &ExpertProfile) {
-    let engines = &situation.engines;
-    if !is_left_held(engines).await {
-        return;
-    }
-    let freed = async {
-        let statuses = all_statuses(engines).await?;
-        let (holder, pass) = held_pass(&statuses)?;
-        let map = engines.map_in_use(experts.sets, experts.experts).await?;
-        let version = statuses
-            .iter()
-            .filter_map(|status| status.armed.or(status.prepared))
-            .max();
-        let highest = statuses.iter().map(highest_version).max()?;
-        let count = (highest >> VERSION_PLACER_BITS) + 1;
-        let fallback = map.with_version((count << VERSION_PLACER_BITS) | placer.draw);
-        let version = version.unwrap_or(highest);
-        Some(free_group(engines, holder, pass, version, Arc::new(fallback)).await)
-    };
-    let result = freed.await;
-    placer.groups.borrow_mut().remove(&situation.name);
-    log_event!(
-        GroupFreed,
-        group = situation.name,
-        epoch = situation.epoch,
-        result = format_args!("{result:?}")
-    );
-}
-
-/// Returns whether the group waits for a held pass. Changes hold a pass at the first rank, and
-/// whoever frees a group at the first two.
-async fn is_left_held(engines: &GroupEngines) -> bool {
-    let look = || async {
-        let ranks = (0..engines.ranks().min(2)).map(|rank| engines.status(rank));
-        let statuses = futures_util::future::join_all(ranks).await;
-        held_pass(&statuses.into_iter().flatten().collect::<Vec<_>>()).map(|(_, pass)| pass)
-    };
-    let Some(pass) = look().await else {
-        return false;
-    };
-    sleep(HELD_RECHECK).await;
-    look().await == Some(pass)
-}
-
-/// Returns the rank that holds the pass for which the group waits. A pass further ahead is not
-/// what the group waits for.
-fn held_pass(statuses: &[RankStatus]) -> Option<(usize, u64)> {
-    let mut ranks = statuses.iter().enumerate();
-    ranks.find_map(|(rank, status)| {
-        let pass = status.held.filter(|pass| *pass <= status.pass + 1)?;
-        Some((rank, pass))
-    })
-}
--- /dev/null
+++ b/crates/daemon/src/gateway/placer/recovery.rs
@@ -0,0 +1,101 @@
+//! Freeing of groups that a placer has left held.
+
+use {
+    super::{
+        super::{engines::GroupEngines, state::GatewayState},
+        GroupSituation, Placer, all_statuses, highest_version, own_address,
+    },
+    sassafrasslip_core::{
+        dispatch::{ExpertProfile, RankControl, free_group, map_switch::VERSION_PLACER_BITS},
+        events::LogEvent::GroupFreed,
+        log_event,
+    },
+    sassafrasslip_platform::RankStatus,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// Silence of all ranks of a group after which it may be held by a placer that is gone. Changes
+/// hold a pass for some milliseconds.
+const STALL_LIMIT: Duration = Duration::from_millis(600);
+
+/// Additional silence for each gateway that comes before this one, so that one of them acts.
+const STALL_STEP: Duration = Duration::from_millis(200);
+
+/// Pause between two looks at a group that may be held. A group that goes on has begun another
+/// pass by then.
+const HELD_RECHECK: Duration = Duration::from_millis(150);
+
+/// Returns whether no rank of a group has sent an event for long although requests run there.
+pub(super) fn is_stalled(state: &GatewayState, situation: &GroupSituation) -> bool {
+    let Some(progress_at) = situation.progress_at.filter(|_| situation.has_own_requests) else {
+        return false;
+    };
+    let own = own_address(state);
+    let peers = state.peers.borrow();
+    let before = peers
+        .serving(Instant::now())
+        .filter(|address| *address < own)
+        .count();
+    let limit = STALL_LIMIT + STALL_STEP * u32::try_from(before).unwrap_or(u32::MAX);
+    progress_at.elapsed() >= limit
+}
+
+/// Frees a group if a placer has left it held.
+pub(super) async fn free_if_held(
+    placer: &Placer,
+    situation: &GroupSituation,
+    experts: &ExpertProfile,
+) {
+    let engines = &situation.engines;
+    if !is_left_held(engines).await {
+        return;
+    }
+    let freed = async {
+        let statuses = all_statuses(engines).await?;
+        let (holder, pass) = held_pass(&statuses)?;
+        let map = engines.map_in_use(experts.sets, experts.experts).await?;
+        let version = statuses
+            .iter()
+            .filter_map(|status| status.armed.or(status.prepared))
+            .max();
+        let highest = statuses.iter().map(highest_version).max()?;
+        let count = (highest >> VERSION_PLACER_BITS) + 1;
+        let fallback = map.with_version((count << VERSION_PLACER_BITS) | placer.draw);
+        let version = version.unwrap_or(highest);
+        Some(free_group(engines, holder, pass, version, Arc::new(fallback)).await)
+    };
+    let result = freed.await;
+    placer.groups.borrow_mut().remove(&situation.name);
+    log_event!(
+        GroupFreed,
+        group = situation.name,
+        epoch = situation.epoch,
+        result = format_args!("{result:?}")
+    );
+}
+
+/// Returns whether the group waits for a held pass. Changes hold a pass at the first rank, and
+/// whoever frees a group at the first two.
+async fn is_left_held(engines: &GroupEngines) -> bool {
+    let look = || async {
+        let ranks = (0..engines.ranks().min(2)).map(|rank| engines.status(rank));
+        let statuses = futures_util::future::join_all(ranks).await;
+        held_pass(&statuses.into_iter().flatten().collect::<Vec<_>>()).map(|(_, pass)| pass)
+    };
+    let Some(pass) = look().await else {
+        return false;
+    };
+    sleep(HELD_RECHECK).await;
+    look().await == Some(pass)
+}
+
+/// Returns the rank that holds the pass for which the group waits. A pass further ahead is not
+/// what the group waits for.
+fn held_pass(statuses: &[RankStatus]) -> Option<(usize, u64)> {
+    let mut ranks = statuses.iter().enumerate();
+    ranks.find_map(|(rank, status)| {
+        let pass = status.held.filter(|pass| *pass <= status.pass + 1)?;
+        Some((rank, pass))
+    })
+}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,17 +1,21 @@
 //! What all requests of a gateway share. A gateway runs on one thread, so that no lock is needed.
 
 use {
-    super::{admission::ServiceLine, channels::ChannelPool, metrics::GatewayMetrics},
+    super::{
+        admission::ServiceLine,
+        channels::{ChannelPool, TargetChannel},
+        group_bounds::GroupBounds,
+        metrics::GatewayMetrics,
+    },
     crate::options::{GatewayOptions, InstanceOptions},
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            GroupLoad, PassGovernor, PeerTable, RetryAllowance, RosterChange, RouteRule,
-            RouteTable, StartPacer, TargetEntry, TargetKey, TargetRoster,
+            GroupLoad, PeerTable, RetryAllowance, RosterChange, RouteRule, RouteTable, TargetEntry,
+            TargetKey, TargetRoster,
         },
         events::LogEvent::{
-            GroupBounded, GroupChanged, TableApplied, TableOutdated, TargetEjected, TargetLeft,
-            TargetListed,
+            GroupChanged, TableApplied, TableOutdated, TargetEjected, TargetLeft, TargetListed,
         },
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
@@ -30,9 +34,6 @@
 /// Weight of the newest time to a first answer in the running mean.
 const FIRST_ANSWER_WEIGHT: f64 = 0.05;
 
-/// Change of a group's bound from which on it is logged, as a share.
-const LOGGED_CHANGE: f64 = 0.1;
-
 /// Time after its start from which on a gateway is preferred as a placer.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 
@@ -63,16 +64,12 @@
     pub gossips: Cell<bool>,
     /// Configuration document in force, for peers that cannot reach the store.
     pub document: RefCell<Bytes>,
-    /// Most requests of groups whose passes would take too long with all slots full.
-    pub group_limits: RefCell<HashMap<GroupName, u32>>,
+    /// Bounds on the requests of model groups.
+    pub bounds: RefCell<GroupBounds>,
     /// When the gateway started.
     pub started_at: Instant,
     /// Whether the process has been told to stop.
     pub leaving: Cell<bool>,
-    governors: RefCell<HashMap<GroupName, PassGovernor>>,
-    pacers: RefCell<HashMap<GroupName, StartPacer>>,
-    /// Bounds of groups as they were logged last.
-    logged_limits: RefCell<HashMap<GroupName, u32>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Running mean of the time from sending a request to its first answer.
@@ -99,12 +96,9 @@
             peers: RefCell::default(),
             gossips: Cell::new(false),
             document: RefCell::default(),
-            group_limits: RefCell::default(),
+            bounds: RefCell::default(),
             started_at: Instant::now(),
             leaving: Cell::new(false),
-            governors: RefCell::default(),
-            pacers: RefCell::default(),
-            logged_limits: RefCell::default(),
             table: RefCell::default(),
             allowances: RefCell::default(),
             first_answers: RefCell::default(),
@@ -159,57 +153,6 @@
         self.roster.borrow_mut().set_peer_loads(peers.loads(now));
     }
 
-    /// Logs the bound of a group if it has changed much since it was logged last.
-    fn log_bound(&self, group: &GroupName, governor: &PassGovernor, in_flight: u32) {
-        let limit = governor.limit().unwrap_or_default();
-        let mut logged = self.logged_limits.borrow_mut();
-        let last = logged.get(group).copied().unwrap_or_default();
-        if f64::from(limit.abs_diff(last)) <= f64::from(last) * LOGGED_CHANGE {
-            return;
-        }
-        logged.insert(group.clone(), limit);
-        log_event!(
-            GroupBounded,
-            group = group,
-            limit = limit,
-            in_flight = in_flight,
-            pause_ms = governor.mean_pause().unwrap_or_default().as_millis()
-        );
-    }
-
-    /// Returns the bounds of groups, which are zero for groups in which this gateway may not start
-    /// a request yet.
-    pub fn paced_limits(&self, now: Instant) -> HashMap<GroupName, u32> {
-        let mut limits = self.group_limits.borrow().clone();
-        let mut pacers = self.pacers.borrow_mut();
-        for (name, limit) in &mut limits {
-            if pacers.get_mut(name).is_some_and(|pacer| !pacer.allows(now)) {
-                *limit = 0;
-            }
-        }
-        limits
-    }
-
-    /// Notes that a request starts at a target.
-    pub fn record_start(&self, key: TargetKey) {
-        let mut roster = self.roster.borrow_mut();
-        let Some(target) = roster.get_mut(key) else {
-            return;
-        };
-        target.own_in_flight += 1;
-        target.health.record_start();
-        if let Some(seat) = &target.entry.group
-            && let Some(pacer) = self.pacers.borrow_mut().get_mut(&seat.name)
-        {
-            pacer.record_start();
-        }
-    }
-
-    /// Returns the mean pause between events of a group's streams; `None` while unknown.
-    pub fn mean_pause(&self, group: &GroupName) -> Option<Duration> {
-        self.governors.borrow().get(group)?.mean_pause()
-    }
-
     fn note_changes(&self, changes: &[RosterChange], source: &'static str) {
         for change in changes {
             self.note_change(change, source);
@@ -231,18 +174,13 @@
         objective: Duration,
     ) {
         let roster = self.roster.borrow();
-        let seat = roster
-            .get(key)
-            .and_then(|target| target.entry.group.as_ref());
-        let Some(seat) = seat else {
+        let target = roster.get(key);
+        let Some(seat) = target.and_then(|target| target.entry.group.as_ref()) else {
             return;
         };
-        let mut governors = self.governors.borrow_mut();
-        let governor = governors.entry(seat.name.clone()).or_default();
-        governor.record_pause(pause);
         let table = self.table.borrow();
-        let service_rule = table.as_ref().and_then(|table| table.service(service));
-        let Some(engine) = service_rule.and_then(|rule| rule.engine.as_ref()) else {
+        let rule = table.as_ref().and_then(|table| table.service(service));
+        let Some(engine) = rule.and_then(|rule| rule.engine.as_ref()) else {
             return;
         };
         let load = GroupLoad {
@@ -250,20 +188,49 @@
             in_flight: roster.group_load(&seat.name),
             pause_objective: objective,
         };
-        if !governor.update(engine, &load, Instant::now()) {
+        let own = roster.own_group_load(&seat.name);
+        let mut bounds = self.bounds.borrow_mut();
+        bounds.record_pause(&seat.name, pause, engine, &load, own);
+    }
+
+    /// Notes that a request starts at a target.
+    pub fn record_start(&self, key: TargetKey) {
+        let mut roster = self.roster.borrow_mut();
+        let Some(target) = roster.get_mut(key) else {
             return;
+        };
+        target.own_in_flight += 1;
+        target.health.record_start();
+        if let Some(seat) = &target.entry.group {
+            self.bounds.borrow_mut().record_start(&seat.name);
         }
-        self.log_bound(&seat.name, governor, load.in_flight);
-        let own = roster.own_group_load(&seat.name).max(1);
-        let share = f64::from(own) / f64::from(load.in_flight.max(own));
-        let mut pacers = self.pacers.borrow_mut();
-        let pacer = pacers.entry(seat.name.clone()).or_default();
-        pacer.set_pace(seat.size, share, governor.mean_pause().unwrap_or_default());
-        if let Some(limit) = governor.limit() {
-            self.group_limits
-                .borrow_mut()
-                .insert(seat.name.clone(), limit);
-        }
+    }
+
+    /// Returns the mean pause between events of a group's streams; `None` while unknown.
+    pub fn mean_pause(&self, group: &GroupName) -> Option<Duration> {
+        self.bounds.borrow().mean_pause(group)
+    }
+
+    /// Keeps a channel for other requests to its target. The gateways together keep at most half
+    /// of the channels that a target accepts.
+    pub fn keep_channel(
+        &self,
+        key: TargetKey,
+        channel: TargetChannel,
+        announced: Option<Duration>,
+    ) {
+        let limit = {
+            let (roster, table) = (self.roster.borrow(), self.table.borrow());
+            let service = roster.get(key).map(|target| &target.entry.service);
+            let table = table.as_ref();
+            let rule = table
+                .zip(service)
+                .and_then(|(table, service)| table.service(service));
+            rule.map_or(u32::MAX, |rule| rule.channel_limit)
+        };
+        let gateways = self.peers.borrow().sharers(Instant::now());
+        let most = (limit / (2 * gateways)).max(1) as usize;
+        self.channels.put(key, channel, announced, most);
     }
 
     fn note_change(&self, change: &RosterChange, source: &'static str) {
@@ -296,9 +263,7 @@
                     state = if view.is_open { "open" } else { "broken" },
                     source = source
                 );
-                self.governors.borrow_mut().remove(name);
-                self.group_limits.borrow_mut().remove(name);
-                self.pacers.borrow_mut().remove(name);
+                self.bounds.borrow_mut().forget(name);
             }
             RosterChange::Left(key, entry) => {
                 self.channels.close(*key);
