--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -117,7 +117,7 @@
 }
 
 fn is_usable(target: &DirectTarget, now: Instant) -> bool {
-    target.group_runs && target.health.is_usable(now)
+    target.group_runs && !target.is_superseded && target.health.is_usable(now)
 }
 
 fn load(target: &DirectTarget) -> u32 {
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -4,7 +4,12 @@
     super::target_health::TargetHealth,
     crate::ids::{GroupName, ServiceName, ZoneName},
     slotmap::{SlotMap, new_key_type},
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::time::Instant,
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -92,6 +97,9 @@
     pub health: TargetHealth,
     /// Whether its group runs; true for a target without a group.
     pub group_runs: bool,
+    /// Whether another target has taken its seat in the group. The entry of a rank that has crashed
+    /// lapses only after some seconds, and the rank may be back under another name before.
+    pub is_superseded: bool,
     /// When it last sent an event of a stream.
     pub progress_at: Option<Instant>,
     /// When the entry was last seen in the list.
@@ -120,6 +128,14 @@
     pub is_open: bool,
 }
 
+/// Target of a seat; the newest formation counts, then the latest start.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct SeatHolder {
+    epoch: u64,
+    started_at_ms: u64,
+    key: TargetKey,
+}
+
 /// All known targets.
 #[derive(Debug, Default)]
 pub struct TargetRoster {
@@ -297,15 +313,36 @@
                 changes.push(RosterChange::Group(name.clone(), *view));
             }
         }
-        for target in self.targets.values_mut() {
+        let holders = self.seat_holders();
+        for (key, target) in &mut self.targets {
             let seat = target.entry.group.as_ref();
             let view = seat.and_then(|seat| views.get(&seat.name));
             target.group_runs = view.is_none_or(|view| view.is_open);
+            target.is_superseded = seat.is_some() && !holders.contains(&key);
         }
         self.broken.retain(|name, _| views.contains_key(name));
         self.groups = views;
     }
 
+    /// Returns the target of each seat: the one of the newest formation, then the one that started
+    /// last.
+    fn seat_holders(&self) -> HashSet<TargetKey> {
+        let mut holders: HashMap<(&GroupName, u32), SeatHolder> = HashMap::new();
+        for (key, target) in &self.targets {
+            let Some(seat) = &target.entry.group else {
+                continue;
+            };
+            let holder = SeatHolder {
+                epoch: seat.epoch,
+                started_at_ms: target.entry.started_at_ms,
+                key,
+            };
+            let known = holders.entry((&seat.name, seat.rank)).or_insert(holder);
+            *known = holder.max(*known);
+        }
+        holders.into_values().map(|holder| holder.key).collect()
+    }
+
     fn apply_entry(&mut self, entry: TargetEntry, now: Instant, changes: &mut Vec<RosterChange>) {
         if let Some(key) = self.find(&entry.id) {
             let known = &self.targets[key].entry;
@@ -331,6 +368,7 @@
             peer_in_flight: 0,
             health: TargetHealth::default(),
             group_runs: true,
+            is_superseded: false,
             progress_at: None,
             listed_at: now,
         });
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -190,6 +190,30 @@
     ));
 }
 
+/// A rank that crashed and is back under another name has two entries until the old one lapses. The
+/// placer once took the group for incomplete that long, and requests went to the dead target.
+#[test]
+fn rank_that_is_back_under_another_name_has_one_holder() {
+    let now = Instant::now();
+    let mut roster = TargetRoster::default();
+    let reborn = TargetEntry {
+        started_at_ms: 9,
+        ..rank("r1-new", 1, 2, true)
+    };
+    let entries = vec![rank("r0", 0, 2, true), rank("r1", 1, 1, true), reborn];
+    roster.apply(entries, now);
+    let superseded = roster.iter().filter(|(_, target)| target.is_superseded);
+    let names: Vec<_> = superseded.map(|(_, target)| &*target.entry.id).collect();
+    assert_eq!(names, ["r1"]);
+    let first = roster.find("r0").unwrap();
+    roster.get_mut(first).unwrap().own_in_flight = 4;
+    let expected = roster.find("r1-new").unwrap();
+    assert_eq!(
+        choose(&roster, &HashMap::new(), now),
+        TargetChoice::Chosen(expected)
+    );
+}
+
 #[test]
 fn answer_tells_of_a_broken_group_before_the_list_does() {
     let now = Instant::now();
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -205,7 +205,7 @@
     let mut seats = Vec::new();
     let mut size = 0;
     let (mut progress_at, mut own) = (None, 0);
-    for (_, target) in roster.iter() {
+    for (_, target) in roster.iter().filter(|(_, target)| !target.is_superseded) {
         let Some(seat) = target
             .entry
             .group
