Say that an entry is ready when its links are open

Cause: an entry was ready once it had read the instance list; its links open after that, and a failed attempt is repeated only after 0.5 s. Ruled out: a fault of the stream itself, since the request never reached a target. Change: readiness waits for the links, 2 s at most.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -95,7 +95,7 @@
     let operating = operators::serve(operators, configuration.clone(), fleet, draining);
     context.work.spawn(operating);
     // Without its list, an entry would refuse every request as one for an unknown service.
-    context.list_read.cancelled().await;
+    targets::wait_for_links(&context).await;
     let daemon = daemon.serve().wait_for_stop().await;
     daemon.change_context(DaemonError::Serve)?.finish().await;
     stop_configuration(&configuration).await;
--- a/crates/daemon/src/entry/targets.rs
+++ b/crates/daemon/src/entry/targets.rs
@@ -15,11 +15,34 @@
         log_event,
         membership::{TargetKey, TargetListing},
     },
-    std::{collections::HashMap, sync::Arc},
-    tokio::time::{MissedTickBehavior, interval},
+    std::{collections::HashMap, sync::Arc, time::Duration},
+    tokio::time::{Instant, MissedTickBehavior, interval, sleep},
     tokio_util::sync::{CancellationToken, DropGuard},
 };
 
+/// Longest wait for links before an entry says that it is ready: two failed attempts to open one,
+/// with the pauses after them.
+const READY_LINK_LIMIT: Duration = Duration::from_secs(2);
+
+/// Interval at which the links are looked at meanwhile.
+const LINK_POLL: Duration = Duration::from_millis(10);
+
+/// Waits until the list was read and the links to all listed targets are open. An entry that says
+/// earlier that it is ready refuses requests only because it has just started. Targets that cannot
+/// be reached delay the start by at most [`READY_LINK_LIMIT`].
+pub async fn wait_for_links(context: &EntryContext) {
+    context.list_read.cancelled().await;
+    let limit = Instant::now() + READY_LINK_LIMIT;
+    let is_linked = || {
+        let state = context.state();
+        let mut targets = state.membership.targets();
+        targets.all(|(_, target)| target.is_connected() || target.listing.leaving)
+    };
+    while !is_linked() && Instant::now() < limit {
+        sleep(LINK_POLL).await;
+    }
+}
+
 /// Reads the instance list again and again, and keeps one link for each listed agent and peer.
 pub async fn follow_instances(context: Arc<EntryContext>, list: Arc<dyn InstanceList>) {
     let mut targets: HashMap<TargetKey, DropGuard> = HashMap::new();
--- a/crates/daemon/tests/entry_fleet.rs
+++ b/crates/daemon/tests/entry_fleet.rs
@@ -11,12 +11,15 @@
         ids::TeamName,
     },
     sassafrasslip_daemon::{
-        entry::fleet::{EntryFleet, FleetView},
+        entry::{
+            fleet::{EntryFleet, FleetView},
+            targets::wait_for_links,
+        },
         platform::{ListedInstance, ListedRole, ListedState},
     },
     sassafrasslip_proto::link::{DispatchRefused, RefusalReason, link_frame::Message},
     std::{sync::Arc, time::Duration},
-    tokio::time::{sleep, timeout},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 fn newer_view(revision: u64) -> Arc<ConfigurationView> {
@@ -32,6 +35,38 @@
     Arc::new(view)
 }
 
+/// An entry once said that it was ready while its links were not open yet, and refused the first
+/// requests: 43 of them when an attempt to open a link failed and was repeated after 0.5 s.
+#[test]
+fn entry_is_ready_when_its_links_are_open() {
+    run(async {
+        let agents = [
+            FakeAgent::model("t1", three_tokens()).await,
+            FakeAgent::model("t2", three_tokens()).await,
+        ];
+        let listed = agents.iter().map(FakeAgent::listing).collect();
+        let entry = TestEntry::start("e1", listed).await;
+        wait_for_links(&entry.context).await;
+        assert_eq!(entry.context.state().links.len(), 2);
+    });
+}
+
+#[test]
+fn target_that_cannot_be_reached_delays_readiness_for_two_seconds_at_most() {
+    run(async {
+        let agent = FakeAgent::model("t1", three_tokens()).await;
+        let mut gone = agent.listing();
+        gone.instance = "t2".parse().unwrap();
+        gone.link_address = "127.0.0.1:9".parse().unwrap();
+        let entry = TestEntry::start("e1", vec![agent.listing(), gone]).await;
+        let start = Instant::now();
+        wait_for_links(&entry.context).await;
+        let waited = start.elapsed();
+        assert!(waited >= Duration::from_millis(1_900), "{waited:?}");
+        assert!(waited <= Duration::from_millis(2_500), "{waited:?}");
+    });
+}
+
 #[test]
 fn answered_request_can_be_explained() {
     run(async {
