--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -15,7 +15,7 @@
     super::{engines::GroupEngines, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
-            EngineProfile, ExpertProfile, SwitchResult, TargetState,
+            EngineProfile, ExpertProfile, SwitchResult,
             demand_window::DemandWindow,
             map_plan::{PlanFigures, pass_is_slow, plan_change},
             map_switch::{RankControl, VERSION_PLACER_BITS},
@@ -194,7 +194,8 @@
     names
 }
 
-/// Gathers the figures of a group; `None` unless it runs and every rank is known.
+/// Gathers the figures of a group; `None` unless it runs and every rank is known. A rank that drains
+/// takes part in each pass until it leaves.
 fn situation(state: &GatewayState, name: &GroupName) -> Option<GroupSituation> {
     let roster = state.roster.borrow();
     let view = roster
@@ -214,9 +215,6 @@
         else {
             continue;
         };
-        if target.entry.state != TargetState::Ready {
-            return None;
-        }
         size = seat.size;
         own += target.own_in_flight;
         progress_at = progress_at.max(target.progress_at);
