Use one accept loop, one outcome type and one own address

`listen::accept` serves all; key, log fields and pause are the same. - `AllOutcome` repeated `OrderOutcome`, and `order_all_settled` repeated `order_all` with one case less. Both are gone. - The own IPv4 address was worked out in two ways; `GatewayState::own_address` replaces them. - The cause of a failed HTTP exchange was described in two places.

Left as they are: the accept loops of operators, agents and entry links, whose log fields or pauses differ.

Behaviour is the same and no test is changed.

--- a/crates/core/src/dispatch/map_switch.rs
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -150,7 +150,7 @@
         let order = RankOrder::Prepare { version, map };
         let prepared = order_all(control, &order, PREPARE_LIMIT).await;
         let state = PreparedMap;
-        (prepared == AllOutcome::Accepted).then_some(Self {
+        (prepared == OrderOutcome::Accepted).then_some(Self {
             control,
             version,
             state,
@@ -199,12 +199,12 @@
         } = self;
         let order = RankOrder::Arm { version, pass };
         let reason = match order_all(control, &order, ARM_LIMIT).await {
-            AllOutcome::Accepted => {
+            OrderOutcome::Accepted => {
                 release(control, 0, pass).await;
                 return SwitchResult::Switched { pass };
             }
-            AllOutcome::Refused => "a rank refused to be armed",
-            AllOutcome::Unanswered => "a rank did not answer",
+            OrderOutcome::Refused => "a rank refused to be armed",
+            OrderOutcome::Unanswered => "a rank did not answer",
         };
         match undo(control, version, fallback, pass, &[0]).await {
             true => SwitchResult::Undone(reason),
@@ -276,11 +276,12 @@
         let map = Arc::new(ExpertMap::clone(&fallback).with_version(version));
         let prepare = RankOrder::Prepare { version, map };
         // A rank that is not armed with this version refuses, which is as good.
-        if order_all_settled(control, &disarm, UNDO_LIMIT).await == AllOutcome::Unanswered {
+        let disarmed = outcomes(control, &disarm, UNDO_LIMIT).await;
+        if disarmed.contains(&OrderOutcome::Unanswered) {
             return false;
         }
         match order_all(control, &prepare, UNDO_LIMIT).await {
-            AllOutcome::Accepted => {
+            OrderOutcome::Accepted => {
                 for holder in holders {
                     release(control, *holder, pass).await;
                 }
@@ -288,8 +289,8 @@
             }
             // A late arm has come into force since, or the rank is armed by another placer, which
             // then releases the pass itself.
-            AllOutcome::Refused => sleep(REPEAT_PAUSE).await,
-            AllOutcome::Unanswered => return false,
+            OrderOutcome::Refused => sleep(REPEAT_PAUSE).await,
+            OrderOutcome::Unanswered => return false,
         }
     }
     false
@@ -299,14 +300,6 @@
     order_one(control, rank, RankOrder::Release { pass }, UNDO_LIMIT).await;
 }
 
-/// What became of an order to all ranks.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum AllOutcome {
-    Accepted,
-    Refused,
-    Unanswered,
-}
-
 /// Gives an order to a rank until it answers.
 async fn order_one<C: RankControl>(
     control: &C,
@@ -324,32 +317,20 @@
     }
 }
 
-/// Gives an order to all ranks at once, until each has answered or one refuses.
-async fn order_all<C: RankControl>(control: &C, order: &RankOrder, limit: Duration) -> AllOutcome {
-    let outcomes = outcomes(control, order, limit).await;
-    if outcomes.contains(&OrderOutcome::Refused) {
-        AllOutcome::Refused
-    } else if outcomes.contains(&OrderOutcome::Unanswered) {
-        AllOutcome::Unanswered
-    } else {
-        AllOutcome::Accepted
-    }
-}
-
-/// Like [`order_all`], but a refusal settles a rank as well as an acceptance.
-async fn order_all_settled<C: RankControl>(
+/// Gives an order to all ranks at once. A refusal counts before a missing answer.
+async fn order_all<C: RankControl>(
     control: &C,
     order: &RankOrder,
     limit: Duration,
-) -> AllOutcome {
+) -> OrderOutcome {
     let outcomes = outcomes(control, order, limit).await;
-    if outcomes.contains(&OrderOutcome::Unanswered) {
-        AllOutcome::Unanswered
-    } else {
-        AllOutcome::Accepted
-    }
+    let worst = [OrderOutcome::Refused, OrderOutcome::Unanswered]
+        .into_iter()
+        .find(|outcome| outcomes.contains(outcome));
+    worst.unwrap_or(OrderOutcome::Accepted)
 }
 
+/// Gives an order to all ranks at once, to each until it answers.
 async fn outcomes<C: RankControl>(
     control: &C,
     order: &RankOrder,
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -12,12 +12,15 @@
         stall::StallGuard,
     },
     super::{context::EntryContext, dispatcher},
-    crate::constants::{
-        CALLER_READ_TIMEOUT, CALLER_WRITE_TIMEOUT, MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES,
+    crate::{
+        constants::{
+            CALLER_READ_TIMEOUT, CALLER_WRITE_TIMEOUT, MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES,
+        },
+        listen,
     },
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    sassafrasslip_core::{events::LogEvent::ListenerFailed, ids::RequestId, log_event},
+    sassafrasslip_core::ids::RequestId,
     std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -27,9 +30,6 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Pause after a failed `accept`, which is usually a lack of file descriptors.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts callers until the notice time after the start of the graceful stop has passed.
 pub async fn serve(context: Arc<EntryContext>, listener: TcpListener, notice: Duration) {
     let connections = Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS));
@@ -54,17 +54,10 @@
     closing: &CancellationToken,
 ) {
     while let Ok(permit) = Arc::clone(connections).acquire_owned().await {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (context, closing) = (Arc::clone(context), closing.clone());
-                let tracker = context.work.clone();
-                tracker.spawn(serve_connection(context, stream, closing, permit));
-            }
-            Err(error) => {
-                log_event!(ListenerFailed, key = "caller_address", error = error);
-                sleep(ACCEPT_RETRY_PAUSE).await;
-            }
-        }
+        let (stream, _) = listen::accept(listener, "caller_address").await;
+        let (context, closing) = (Arc::clone(context), closing.clone());
+        let tracker = context.work.clone();
+        tracker.spawn(serve_connection(context, stream, closing, permit));
     }
 }
 
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -5,10 +5,10 @@
     crate::{
         constants::{CALLER_WRITE_TIMEOUT, MAX_CALLER_CONNECTIONS},
         entry::callers::stall::StallGuard,
+        listen,
     },
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    sassafrasslip_core::{events::LogEvent::ListenerFailed, log_event},
     std::{convert::Infallible, pin::pin, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -18,9 +18,6 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// Pause after a failed `accept`, which is usually a lack of file descriptors.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
-
 /// Time after the stop signal for which new connections are accepted. The balancer asks each
 /// second and needs two misses before it sends no more.
 const NOTICE: Duration = Duration::from_millis(2600);
@@ -64,16 +61,9 @@
     work: &TaskTracker,
 ) {
     while let Ok(permit) = Arc::clone(connections).acquire_owned().await {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (state, closing) = (Rc::clone(state), closing.clone());
-                work.spawn_local(serve_connection(state, stream, closing, permit));
-            }
-            Err(error) => {
-                log_event!(ListenerFailed, key = "caller_address", error = error);
-                sleep(ACCEPT_RETRY_PAUSE).await;
-            }
-        }
+        let (stream, _) = listen::accept(listener, "caller_address").await;
+        let (state, closing) = (Rc::clone(state), closing.clone());
+        work.spawn_local(serve_connection(state, stream, closing, permit));
     }
 }
 
--- a/crates/daemon/src/gateway/channels.rs
+++ b/crates/daemon/src/gateway/channels.rs
@@ -12,7 +12,10 @@
     sassafrasslip_core::dispatch::{TargetKey, channel_plan::idle_limit},
     slotmap::SecondaryMap,
     socket2::SockRef,
-    std::{cell::RefCell, collections::VecDeque, io, net::SocketAddr, result, time::Duration},
+    std::{
+        cell::RefCell, collections::VecDeque, error::Error, io, net::SocketAddr, result,
+        time::Duration,
+    },
     tokio::{
         net::TcpStream,
         task::JoinHandle,
@@ -99,16 +102,20 @@
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             let may_have_left = error.take_message().is_none();
-            let error = error.into_error();
-            let cause = std::error::Error::source(&error).map(ToString::to_string);
             ChannelError {
                 may_have_left,
-                fault: cause.unwrap_or_else(|| error.to_string()),
+                fault: describe_exchange(&error.into_error()),
             }
         })
     }
 }
 
+/// Describes a failed exchange by its cause, since the error itself only names the step.
+pub fn describe_exchange(error: &hyper::Error) -> String {
+    let cause = error.source().map(ToString::to_string);
+    cause.unwrap_or_else(|| error.to_string())
+}
+
 #[derive(Debug)]
 struct IdleChannel {
     channel: TargetChannel,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -3,7 +3,8 @@
 //! All gateways use the same ports, so that an address alone names one.
 
 use {
-    super::state::GatewayState,
+    super::state::{GatewayState, ipv4},
+    crate::listen,
     bytes::{Bytes, BytesMut},
     error_stack::{Report, ResultExt},
     futures_util::{SinkExt, StreamExt},
@@ -18,7 +19,7 @@
     std::{
         error::Error,
         fmt, io,
-        net::{IpAddr, Ipv4Addr, SocketAddr},
+        net::{Ipv4Addr, SocketAddr},
         rc::Rc,
         result,
         time::Duration,
@@ -67,8 +68,8 @@
 /// Peers that are asked at a time.
 const ASKED_PEERS: usize = 2;
 
-/// Pause after a failed `accept`.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a failed read of the datagram socket.
+const RECEIVE_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Step at which a peer could not be asked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -146,21 +147,14 @@
 
 /// Returns the addresses of the seeds without the own one.
 fn seeds(state: &GatewayState) -> Vec<Ipv4Addr> {
-    let own = state.options.peer_address.ip();
+    let own = state.own_address();
     let seeds = state.options.seeds.iter().map(SocketAddr::ip);
     seeds
-        .filter(|address| *address != own)
         .filter_map(ipv4)
+        .filter(|address| Some(*address) != own)
         .collect()
 }
 
-fn ipv4(address: IpAddr) -> Option<Ipv4Addr> {
-    match address {
-        IpAddr::V4(address) => Some(address),
-        IpAddr::V6(_) => None,
-    }
-}
-
 fn expire(state: &GatewayState, now: Instant) {
     let gone = state.peers.borrow_mut().forget_silent(now);
     for address in gone {
@@ -195,7 +189,7 @@
             Err(error) => {
                 // An answer that a port is closed; the peer is not there at the moment.
                 log::debug!("datagram socket: {error}");
-                sleep(ACCEPT_RETRY_PAUSE).await;
+                sleep(RECEIVE_RETRY_PAUSE).await;
                 continue;
             }
         };
@@ -218,7 +212,7 @@
     let now = Instant::now();
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
-    let own = ipv4(state.options.peer_address.ip());
+    let own = state.own_address();
     let named = report.gateways.into_iter().map(Ipv4Addr::from);
     peers.suggest(named.filter(|named| Some(*named) != own), now);
     let report = PeerReport {
@@ -241,25 +235,14 @@
 /// Answers peers that ask what this gateway knows.
 pub async fn serve_snapshots(state: Rc<GatewayState>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let answering = answer_snapshot(Rc::clone(&state), stream);
-                tokio::task::spawn_local(async move {
-                    let answered = timeout(SNAPSHOT_TIMEOUT, answering).await;
-                    if !matches!(answered, Ok(Ok(()))) {
-                        log::debug!("peer {peer} did not take its snapshot");
-                    }
-                });
+        let (stream, peer) = listen::accept(&listener, "peer_address").await;
+        let answering = answer_snapshot(Rc::clone(&state), stream);
+        tokio::task::spawn_local(async move {
+            let answered = timeout(SNAPSHOT_TIMEOUT, answering).await;
+            if !matches!(answered, Ok(Ok(()))) {
+                log::debug!("peer {peer} did not take its snapshot");
             }
-            Err(error) => {
-                log_event!(
-                    sassafrasslip_core::events::LogEvent::ListenerFailed,
-                    key = "peer_address",
-                    error = error
-                );
-                sleep(ACCEPT_RETRY_PAUSE).await;
-            }
-        }
+        });
     }
 }
 
@@ -367,7 +350,7 @@
 
 /// Returns the gateway that reads the store for this one's zone; `None` if this one does.
 pub fn zone_reader(state: &GatewayState, now: Instant) -> Option<SocketAddr> {
-    let own = ipv4(state.options.peer_address.ip())?;
+    let own = state.own_address()?;
     let reader = state
         .peers
         .borrow()
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -30,7 +30,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
-        net::{IpAddr, Ipv4Addr},
+        net::Ipv4Addr,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -233,13 +233,6 @@
     })
 }
 
-fn own_address(state: &GatewayState) -> Ipv4Addr {
-    match state.options.peer_address.ip() {
-        IpAddr::V4(address) => address,
-        IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
-    }
-}
-
 /// Returns whether this gateway places the experts of a group.
 fn is_placer(state: &GatewayState, name: &GroupName) -> bool {
     let weight = |address: Ipv4Addr| {
@@ -253,7 +246,7 @@
     if state.leaving.get() || (!is_settled && peers.has_settled(now)) {
         return false;
     }
-    let own = weight(own_address(state));
+    let own = weight(state.own_address().unwrap_or(Ipv4Addr::UNSPECIFIED));
     peers
         .placers(is_settled, now)
         .into_iter()
--- a/crates/daemon/src/gateway/placer/recovery.rs
+++ b/crates/daemon/src/gateway/placer/recovery.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         super::{engines::GroupEngines, state::GatewayState},
-        GroupSituation, Placer, all_statuses, highest_version, own_address,
+        GroupSituation, Placer, all_statuses, highest_version,
     },
     sassafrasslip_core::{
         dispatch::{ExpertProfile, RankControl, free_group, map_switch::VERSION_PLACER_BITS},
@@ -11,7 +11,7 @@
         log_event,
     },
     sassafrasslip_platform::RankStatus,
-    std::{sync::Arc, time::Duration},
+    std::{net::Ipv4Addr, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -31,7 +31,7 @@
     let Some(progress_at) = situation.progress_at.filter(|_| situation.has_own_requests) else {
         return false;
     };
-    let own = own_address(state);
+    let own = state.own_address().unwrap_or(Ipv4Addr::UNSPECIFIED);
     let peers = state.peers.borrow();
     let before = peers
         .serving(Instant::now())
--- a/crates/daemon/src/gateway/readiness.rs
+++ b/crates/daemon/src/gateway/readiness.rs
@@ -2,36 +2,25 @@
 
 use {
     super::state::GatewayState,
-    crate::telemetry::HealthState,
+    crate::{listen, telemetry::HealthState},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    sassafrasslip_core::{events::LogEvent::ListenerFailed, log_event},
     sassafrasslip_platform::READINESS_PATH,
     std::{convert::Infallible, rc::Rc, time::Duration},
-    tokio::{net::TcpListener, time::sleep},
+    tokio::net::TcpListener,
 };
 
-/// Pause after a failed `accept`, which is usually a lack of file descriptors.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
-
 /// Time that the balancer has to send a question.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Answers until the process ends.
 pub async fn serve(state: Rc<GatewayState>, listener: TcpListener, health: HealthState) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log_event!(ListenerFailed, key = "readiness_address", error = error);
-                sleep(ACCEPT_RETRY_PAUSE).await;
-                continue;
-            }
-        };
+        let (stream, _) = listen::accept(&listener, "readiness_address").await;
         let (state, health) = (Rc::clone(&state), health.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let is_ready = health.is_ready() && state.is_informed();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        channels::describe_exchange,
         exchange::{AttemptError, OpenAnswer},
         reply::{CutError, ReplyBody},
         request::RequestRun,
@@ -243,7 +244,7 @@
         let until = review_at.min(run.deadline);
         match timeout_at(until, open.next()).await {
             Ok(Ok(bytes)) => return Ok(bytes),
-            Ok(Err(error)) => return Err(AttemptError::broken(describe(&error))),
+            Ok(Err(error)) => return Err(AttemptError::broken(describe_exchange(&error))),
             Err(_) => {}
         }
         let now = Instant::now();
@@ -262,8 +263,3 @@
         review_at = now + SILENCE_REVIEW;
     }
 }
-
-fn describe(error: &hyper::Error) -> String {
-    let cause = std::error::Error::source(error).map(ToString::to_string);
-    cause.unwrap_or_else(|| error.to_string())
-}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -23,6 +23,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
+        net::{IpAddr, Ipv4Addr},
         rc::Rc,
     },
     tokio::{
@@ -76,6 +77,14 @@
     first_answers: RefCell<HashMap<ServiceName, Duration>>,
 }
 
+/// Returns an address as one of IPv4, by which gateways name each other.
+pub fn ipv4(address: IpAddr) -> Option<Ipv4Addr> {
+    match address {
+        IpAddr::V4(address) => Some(address),
+        IpAddr::V6(_) => None,
+    }
+}
+
 impl GatewayState {
     /// Creates the state of a gateway that knows nothing yet.
     pub fn new(
@@ -105,6 +114,11 @@
         }
     }
 
+    /// Returns the address that names this gateway among its peers; `None` outside IPv4.
+    pub fn own_address(&self) -> Option<Ipv4Addr> {
+        ipv4(self.options.peer_address.ip())
+    }
+
     /// Returns the configuration in force; `None` until one is known.
     pub fn table(&self) -> Option<Rc<RouteTable>> {
         self.table.borrow().clone()
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -1,11 +1,18 @@
-//! Binding of the addresses that settings name.
+//! Listeners at the addresses that settings name.
 
 use {
     error_stack::Report,
-    std::{error::Error, fmt, net::SocketAddr, result},
-    tokio::net::TcpListener,
+    sassafrasslip_core::{events::LogEvent::ListenerFailed, log_event},
+    std::{error::Error, fmt, net::SocketAddr, result, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::sleep,
+    },
 };
 
+/// Pause after a failed `accept`, which is usually a lack of file descriptors.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
 /// Result of binding an address.
 pub type Result<T> = result::Result<T, Report<ListenError>>;
 
@@ -56,3 +63,17 @@
         })
     })
 }
+
+/// Accepts the next connection at the address of the setting `key`. A failure is logged, and the
+/// listener goes on after a pause.
+pub async fn accept(listener: &TcpListener, key: &'static str) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                log_event!(ListenerFailed, key = key, error = error);
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
