--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -11,6 +11,7 @@
 pub mod map_switch;
 pub mod pass_governor;
 pub mod peer_table;
+pub mod rank_status;
 pub mod retry_allowance;
 pub mod route_table;
 pub mod target_choice;
@@ -25,6 +26,7 @@
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     pass_governor::{GroupLoad, PassGovernor, StartPacer},
     peer_table::{PeerReport, PeerTable},
+    rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
     retry_allowance::RetryAllowance,
     route_table::{
         CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule,
--- a/crates/core/src/dispatch/map_switch.rs
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -30,13 +30,17 @@
 /// change is undone, since a held pass stalls the group.
 const ARM_LIMIT: Duration = Duration::from_millis(700);
 
-/// Time for the hold, and for the orders that prepare a map.
-const HOLD_LIMIT: Duration = Duration::from_millis(400);
+/// Time for the hold with which a group is freed. Whoever frees it tries again after a look at the
+/// ranks.
+const FREE_HOLD_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time for the orders that prepare a map.
 const PREPARE_LIMIT: Duration = Duration::from_millis(600);
 
-/// Time for undoing a change. Without it a placer would keep trying at a rank that is gone; the
-/// group forms anew without that rank, or another placer goes on.
-const UNDO_LIMIT: Duration = Duration::from_secs(20);
+/// Time for orders that leave the group held if they are given up: the hold and the orders that
+/// undo a change. Without it a placer would keep trying at a rank that is gone; the group forms
+/// anew without that rank, or another placer goes on.
+const SETTLE_LIMIT: Duration = Duration::from_secs(20);
 
 /// How often undoing starts over when a rank refuses to prepare.
 const UNDO_TRIES: u64 = 4;
@@ -52,6 +56,10 @@
 const HOLD_STRIDE: u64 = 1;
 const HOLD_TRIES: u32 = 6;
 
+/// Ranks at which passes are held: a change holds at the first one, and whoever frees a group at
+/// the other of the first two.
+pub const HOLDING_RANKS: usize = 2;
+
 /// Rank of a group.
 pub type RankIndex = usize;
 
@@ -158,6 +166,10 @@
     }
 
     /// Holds a pass at the first rank, or a later one if that pass has begun.
+    ///
+    /// A hold that is not answered may be in force or come into force, so the order is given until
+    /// it is answered. It is not taken back by releasing the pass: another placer may hold the same
+    /// one and be about to arm the ranks.
     pub async fn hold(self, pass: u64) -> Option<MapSwitch<'a, C, HeldPass>> {
         let Self {
             control, version, ..
@@ -165,7 +177,7 @@
         for attempt in 0..HOLD_TRIES {
             let pass = pass + HOLD_STRIDE * u64::from(attempt);
             let order = RankOrder::Hold { pass };
-            match order_one(control, 0, order, HOLD_LIMIT).await {
+            match order_one(control, 0, order, SETTLE_LIMIT).await {
                 OrderOutcome::Accepted => {
                     let state = HeldPass { pass };
                     return Some(MapSwitch {
@@ -175,13 +187,7 @@
                     });
                 }
                 OrderOutcome::Refused => {}
-                // The hold may still come into force. Releasing it now does no harm, and another
-                // placer releases the group if it comes later.
-                OrderOutcome::Unanswered => {
-                    let release = RankOrder::Release { pass };
-                    order_one(control, 0, release, HOLD_LIMIT).await;
-                    return None;
-                }
+                OrderOutcome::Unanswered => return None,
             }
         }
         None
@@ -206,7 +212,7 @@
             OrderOutcome::Refused => "a rank refused to be armed",
             OrderOutcome::Unanswered => "a rank did not answer",
         };
-        match undo(control, version, fallback, pass, &[0]).await {
+        match undo(control, Some(version), fallback, pass, &[0]).await {
             true => SwitchResult::Undone(reason),
             false => SwitchResult::Abandoned,
         }
@@ -235,13 +241,13 @@
     held.arm_and_release(fallback).await
 }
 
-/// Frees a group that another placer has left held at `pass` by the rank `holder`. `version` is
-/// the highest one that a rank has armed or prepared, `fallback` the map in use under a newer one.
+/// Frees a group that another placer has left held at `pass` by the rank `holder`. `armed` is the
+/// highest version that a rank has armed, `fallback` the map in use under a newer one.
 pub async fn free_group<C: RankControl>(
     control: &C,
     holder: RankIndex,
     pass: u64,
-    version: u64,
+    armed: Option<u64>,
     fallback: Arc<ExpertMap>,
 ) -> SwitchResult {
     let second = usize::from(holder == 0);
@@ -249,12 +255,12 @@
         return SwitchResult::NotStarted("the group has one rank");
     }
     let order = RankOrder::Hold { pass };
-    match order_one(control, second, order, HOLD_LIMIT).await {
+    match order_one(control, second, order, FREE_HOLD_LIMIT).await {
         OrderOutcome::Accepted => {}
         OrderOutcome::Refused => return SwitchResult::NotStarted("the pass has begun"),
         OrderOutcome::Unanswered => return SwitchResult::Abandoned,
     }
-    match undo(control, version, fallback, pass, &[holder, second]).await {
+    match undo(control, armed, fallback, pass, &[holder, second]).await {
         true => SwitchResult::Undone("left held by another placer"),
         false => SwitchResult::Abandoned,
     }
@@ -264,23 +270,25 @@
 /// `holders`. Returns whether all of it was acknowledged.
 async fn undo<C: RankControl>(
     control: &C,
-    version: u64,
+    armed: Option<u64>,
     fallback: Arc<ExpertMap>,
     pass: u64,
     holders: &[RankIndex],
 ) -> bool {
-    let disarm = RankOrder::Disarm { version };
+    let disarm = armed.map(|version| RankOrder::Disarm { version });
     for attempt in 0..UNDO_TRIES {
         // A rank to which another placer has given a higher version refuses ours.
         let version = fallback.version() + UNDO_VERSION_STEP * attempt;
         let map = Arc::new(ExpertMap::clone(&fallback).with_version(version));
         let prepare = RankOrder::Prepare { version, map };
-        // A rank that is not armed with this version refuses, which is as good.
-        let disarmed = outcomes(control, &disarm, UNDO_LIMIT).await;
-        if disarmed.contains(&OrderOutcome::Unanswered) {
-            return false;
+        if let Some(disarm) = &disarm {
+            // A rank that is not armed with this version refuses, which is as good.
+            let disarmed = outcomes(control, disarm, SETTLE_LIMIT).await;
+            if disarmed.contains(&OrderOutcome::Unanswered) {
+                return false;
+            }
         }
-        match order_all(control, &prepare, UNDO_LIMIT).await {
+        match order_all(control, &prepare, SETTLE_LIMIT).await {
             OrderOutcome::Accepted => {
                 for holder in holders {
                     release(control, *holder, pass).await;
@@ -297,7 +305,7 @@
 }
 
 async fn release<C: RankControl>(control: &C, rank: RankIndex, pass: u64) {
-    order_one(control, rank, RankOrder::Release { pass }, UNDO_LIMIT).await;
+    order_one(control, rank, RankOrder::Release { pass }, SETTLE_LIMIT).await;
 }
 
 /// Gives an order to a rank until it answers.
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -5,8 +5,8 @@
     rand::{RngExt, SeedableRng, rngs::StdRng},
     sassafrasslip_core::{
         dispatch::{
-            OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, map_switch::RankIndex,
-            switch_map,
+            OrderOutcome, PassPace, RankControl, RankOrder, RankStatus, SwitchResult,
+            armed_version, free_group, held_pass, map_switch::RankIndex, pass_to_hold, switch_map,
         },
         placement::ExpertMap,
     },
@@ -14,7 +14,7 @@
     std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         task::LocalSet,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -42,6 +42,7 @@
 struct Group {
     ranks: Vec<Rank>,
     pass: u64,
+    disarmed: Vec<u64>,
     violations: Vec<String>,
 }
 
@@ -50,12 +51,16 @@
         Rc::new(RefCell::new(Self {
             ranks: vec![Rank::default(); RANKS],
             pass: 0,
+            disarmed: Vec::new(),
             violations: Vec::new(),
         }))
     }
 
     fn apply(&mut self, rank: RankIndex, order: &RankOrder, content: u64) -> OrderOutcome {
         let begun = self.pass;
+        if let RankOrder::Disarm { version } = order {
+            self.disarmed.push(*version);
+        }
         let rank = &mut self.ranks[rank];
         let accepted = match order {
             RankOrder::Prepare { version, .. } => {
@@ -138,6 +143,19 @@
     fn is_held(&self) -> bool {
         self.ranks.iter().any(|rank| rank.held.is_some())
     }
+
+    fn statuses(&self) -> Vec<RankStatus> {
+        let ranks = self.ranks.iter();
+        let statuses = ranks.map(|rank| RankStatus {
+            epoch: 1,
+            pass: self.pass,
+            map: rank.map.0,
+            prepared: rank.prepared.map(|(version, _)| version),
+            armed: rank.armed.map(|(version, _)| version),
+            held: rank.held,
+        });
+        statuses.collect()
+    }
 }
 
 /// Way of one placer to the group.
@@ -150,6 +168,8 @@
     freeze_share: f64,
     /// Ranks that never answer.
     silent: Vec<RankIndex>,
+    /// Time for which holds are carried out, but not answered.
+    silent_holds_until: Option<Instant>,
     /// Tells the maps of placers apart.
     content: u64,
 }
@@ -164,6 +184,16 @@
             sleep(ANSWER_TIMEOUT).await;
             return OrderOutcome::Unanswered;
         }
+        let is_hold = matches!(order, RankOrder::Hold { .. });
+        if is_hold
+            && self
+                .silent_holds_until
+                .is_some_and(|until| Instant::now() < until)
+        {
+            self.group.borrow_mut().apply(rank, &order, self.content);
+            sleep(ANSWER_TIMEOUT).await;
+            return OrderOutcome::Unanswered;
+        }
         let (is_late, freezes, delay) = {
             let mut random = self.random.borrow_mut();
             let delay = Duration::from_millis(random.random_range(2_000..12_000));
@@ -197,6 +227,7 @@
         late_share: 0.0,
         freeze_share: 0.0,
         silent: Vec::new(),
+        silent_holds_until: None,
         content,
     }
 }
@@ -214,17 +245,10 @@
 
 /// Frees the group if a placer has left it held, as another gateway does.
 async fn free(placer: &Placer, version: u64) -> Option<SwitchResult> {
-    let (holder, pass, armed) = {
-        let group = placer.group.borrow();
-        let mut ranks = group.ranks.iter().enumerate();
-        let (holder, pass) = ranks.find_map(|(rank, state)| Some((rank, state.held?)))?;
-        let armed = group
-            .ranks
-            .iter()
-            .filter_map(|rank| rank.armed.or(rank.prepared));
-        (holder, pass, armed.map(|(version, _)| version).max())
-    };
-    Some(free_group(placer, holder, pass, armed.unwrap_or(0), map(version)).await)
+    let statuses = placer.group.borrow().statuses();
+    let (holder, pass) = held_pass(&statuses)?;
+    let armed = armed_version(&statuses);
+    Some(free_group(placer, holder, pass, armed, map(version)).await)
 }
 
 fn run_paused(test: impl Future<Output = ()>) {
@@ -306,7 +330,7 @@
                 1,
             );
         });
-        let result = free_group(&placer(&group, 1, 2), 0, 5, 10, map(11)).await;
+        let result = free_group(&placer(&group, 1, 2), 0, 5, Some(10), map(11)).await;
         assert!(matches!(result, SwitchResult::Undone(_)), "{result:?}");
         assert!(!group.borrow().is_held());
         assert!(group.borrow().ranks.iter().all(|rank| rank.armed.is_none()));
@@ -365,12 +389,114 @@
             group.borrow_mut().apply(rank, &prepare, 2);
         }
         let fallback = map((4 << 16) | 1);
-        let result = free_group(&placer(&group, 1, 1), 0, 5, (3 << 16) | 1, fallback).await;
+        let armed = Some((3 << 16) | 1);
+        let result = free_group(&placer(&group, 1, 1), 0, 5, armed, fallback).await;
         assert!(matches!(result, SwitchResult::Undone(_)), "{result:?}");
         assert!(!group.borrow().is_held());
     });
 }
 
+fn prepare_all(group: &Rc<RefCell<Group>>, version: u64, content: u64) {
+    for rank in 0..RANKS {
+        let map = map(version);
+        let order = RankOrder::Prepare { version, map };
+        let outcome = group.borrow_mut().apply(rank, &order, content);
+        assert_eq!(outcome, OrderOutcome::Accepted);
+    }
+}
+
+/// A placer whose hold was not answered once released the pass. Another placer that holds the same
+/// pass and is arming the ranks then switched only some of them (`RELEASE_AFTER_SILENCE` of the
+/// specification).
+#[test]
+fn silence_after_a_hold_does_not_release_the_pass_of_another_placer() {
+    run_paused(async {
+        let group = Group::new();
+        let mut unheard = placer(&group, 1, 1);
+        unheard.silent_holds_until = Some(Instant::now() + Duration::from_secs(60));
+        // The other placer has prepared its map since, and holds the pass that this one estimates.
+        let other = Rc::clone(&group);
+        tokio::task::spawn_local(async move {
+            sleep(LOAD_TIME / 2).await;
+            prepare_all(&other, 20, 2);
+            other.borrow_mut().ranks[0].held = Some(3);
+        });
+        let result = change(&unheard, 10, VERSION_STEP).await;
+        assert!(matches!(result, SwitchResult::NotStarted(_)), "{result:?}");
+        assert_eq!(group.borrow().ranks[0].held, Some(3));
+    });
+}
+
+/// The pass is held although the answers are lost for a while; nobody else releases it.
+#[test]
+fn hold_that_is_answered_late_is_used() {
+    run_paused(async {
+        let group = Group::new();
+        start_passes(&group);
+        let mut placer = placer(&group, 1, 1);
+        placer.silent_holds_until = Some(Instant::now() + Duration::from_secs(2));
+        let result = change(&placer, 10, VERSION_STEP).await;
+        assert!(
+            matches!(result, SwitchResult::Switched { .. }),
+            "{result:?}"
+        );
+        sleep(3 * PASS_TIME).await;
+        let group = group.borrow();
+        assert!(!group.is_held());
+        assert!(group.ranks.iter().all(|rank| rank.map == (10, 1)));
+        assert_eq!(group.violations, Vec::<String>::new());
+    });
+}
+
+/// Freeing once disarmed a version that another placer had only prepared. Such an order that came
+/// late disarmed one rank after all were armed and the pass was released (`DISARM_PREPARED`).
+#[test]
+fn version_that_is_only_prepared_is_not_disarmed() {
+    run_paused(async {
+        let group = Group::new();
+        prepare_all(&group, 10, 1);
+        group.borrow_mut().ranks[0].held = Some(1);
+        let result = free(&placer(&group, 1, 2), 20).await;
+        assert!(
+            matches!(result, Some(SwitchResult::Undone(_))),
+            "{result:?}"
+        );
+        assert_eq!(group.borrow().disarmed, Vec::<u64>::new());
+        assert!(!group.borrow().is_held());
+    });
+}
+
+/// A pass that a rank still holds may be released by its placer at any moment; a change that relied
+/// on it would switch only some ranks (`HOLD_OVER_HELD`).
+#[test]
+fn no_pass_is_estimated_while_a_rank_holds_one() {
+    let pace = PassPace {
+        report_age: Duration::from_millis(150),
+        pause: Duration::from_millis(100),
+        is_lossy: false,
+    };
+    let free = RankStatus {
+        pass: 40,
+        map: 7,
+        ..RankStatus::default()
+    };
+    let held = RankStatus {
+        held: Some(41),
+        ..free
+    };
+    // The report is two passes old at most, and the pass after the current one is held.
+    assert_eq!(pass_to_hold(&[free, free], 7, &pace), Some(43));
+    assert_eq!(pass_to_hold(&[free, held], 7, &pace), None);
+    assert_eq!(pass_to_hold(&[held, free], 7, &pace), None);
+    // Another placer has changed the map since it was planned.
+    assert_eq!(pass_to_hold(&[free, free], 6, &pace), None);
+    let lossy = PassPace {
+        is_lossy: true,
+        ..pace
+    };
+    assert_eq!(pass_to_hold(&[free, free], 7, &lossy), Some(45));
+}
+
 /// Two placers change maps and free the group again and again, with their own shares of late
 /// orders and freezes; every pass is checked.
 fn check_seeds(late_share: f64, freeze_share: f64, first_seed: u64) {
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -7,14 +7,16 @@
     http_body_util::{BodyExt, Full, Limited},
     hyper::{Request, StatusCode},
     sassafrasslip_core::{
-        dispatch::{OrderOutcome, RankControl, RankOrder, TargetId, map_switch::RankIndex},
+        dispatch::{
+            OrderOutcome, RankControl, RankOrder, RankStatus, TargetId, map_switch::RankIndex,
+        },
         events::LogEvent::OrderGiven,
         ids::GroupName,
         log_event,
         placement::{ExpertMap, ExpertNumber, RankNumber},
     },
     sassafrasslip_platform::{
-        ExpertPicks, RankStatus,
+        ExpertPicks,
         caller::expected_target,
         engine::{
             COUNTS_PATH, HOLDINGS_PATH, ORDER_PATH, REPORT_PATH, decode_holdings,
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -15,18 +15,17 @@
     super::{engines::GroupEngines, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
-            EngineProfile, ExpertProfile, SwitchResult,
+            EngineProfile, ExpertProfile, PassPace, RankStatus, SwitchResult,
             demand_window::DemandWindow,
             map_plan::{PlanFigures, pass_is_slow, plan_change},
-            map_switch::{RankControl, VERSION_PLACER_BITS},
-            switch_map,
+            map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS},
+            pass_to_hold, switch_map,
         },
         events::LogEvent::{MapPlanned, MapSwitched},
         ids::{GroupName, ServiceName},
         log_event,
         placement::ExpertMap,
     },
-    sassafrasslip_platform::RankStatus,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -48,12 +47,6 @@
 /// Time beyond the loading of the experts before a rank is taken to be prepared.
 const LOADING_MARGIN: Duration = Duration::from_millis(40);
 
-/// Passes between the estimate of the current pass and the one that is held.
-const PASS_MARGIN: u64 = 1;
-
-/// The same while some orders are not answered.
-const LOSSY_PASS_MARGIN: u64 = 3;
-
 /// Time after the start in which a gateway places nothing. It hears of its peers meanwhile; without
 /// them it would take itself for the placer of every group.
 const START_PAUSE: Duration = Duration::from_millis(800);
@@ -311,20 +304,13 @@
     let loading = experts.load_time * u32::try_from(figures.loads_per_rank).unwrap_or(u32::MAX);
     let known_version = map.version();
     let next_pass = async {
-        let status = engines
-            .status(0)
-            .await
-            .filter(|status| status.map == known_version)?;
-        let pause = state.mean_pause(&situation.name)?.as_secs_f64();
-        let since = engine.report_age.as_secs_f64() / pause.max(0.001);
-        // Orders that have to be given again take longer than a pass, in which the group would
-        // wait.
-        let margin = if engines.unanswered() > 0 {
-            LOSSY_PASS_MARGIN
-        } else {
-            PASS_MARGIN
+        let statuses = first_statuses(engines, HOLDING_RANKS).await?;
+        let pace = PassPace {
+            report_age: engine.report_age,
+            pause: state.mean_pause(&situation.name)?,
+            is_lossy: engines.unanswered() > 0,
         };
-        Some(status.pass + since.ceil() as u64 + margin)
+        pass_to_hold(&statuses, known_version, &pace)
     };
     let result = switch_map(
         engines,
@@ -388,8 +374,8 @@
         return known;
     }
     let engines = &situation.engines;
-    let statuses = all_statuses(engines).await?;
-    let highest_version = statuses.iter().map(highest_version).max()?;
+    let statuses = first_statuses(engines, engines.ranks()).await?;
+    let highest_version = statuses.iter().map(RankStatus::highest_version).max()?;
     let version = statuses.first()?.map;
     let map = if version == 0 {
         ExpertMap::dealt_in_turn(0, experts.sets, experts.experts, engines.ranks())
@@ -411,15 +397,9 @@
     Some(map)
 }
 
-fn highest_version(status: &RankStatus) -> u64 {
-    status
-        .map
-        .max(status.prepared.unwrap_or(0))
-        .max(status.armed.unwrap_or(0))
-}
-
-async fn all_statuses(engines: &GroupEngines) -> Option<Vec<RankStatus>> {
-    let ranks = 0..engines.ranks();
+/// Reads the reports of the first `count` ranks; `None` unless all of them answer.
+async fn first_statuses(engines: &GroupEngines, count: usize) -> Option<Vec<RankStatus>> {
+    let ranks = 0..engines.ranks().min(count);
     let statuses = ranks.map(|rank| engines.status(rank));
     let statuses = futures_util::future::join_all(statuses).await;
     statuses.into_iter().collect()
--- a/crates/daemon/src/gateway/placer/recovery.rs
+++ b/crates/daemon/src/gateway/placer/recovery.rs
@@ -3,14 +3,16 @@
 use {
     super::{
         super::{engines::GroupEngines, state::GatewayState},
-        GroupSituation, Placer, all_statuses, highest_version,
+        GroupSituation, Placer, first_statuses,
     },
     sassafrasslip_core::{
-        dispatch::{ExpertProfile, RankControl, free_group, map_switch::VERSION_PLACER_BITS},
+        dispatch::{
+            ExpertProfile, RankControl, RankStatus, armed_version, free_group, held_pass,
+            map_switch::{HOLDING_RANKS, VERSION_PLACER_BITS},
+        },
         events::LogEvent::GroupFreed,
         log_event,
     },
-    sassafrasslip_platform::RankStatus,
     std::{net::Ipv4Addr, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -52,18 +54,14 @@
         return;
     }
     let freed = async {
-        let statuses = all_statuses(engines).await?;
+        let statuses = first_statuses(engines, engines.ranks()).await?;
         let (holder, pass) = held_pass(&statuses)?;
         let map = engines.map_in_use(experts.sets, experts.experts).await?;
-        let version = statuses
-            .iter()
-            .filter_map(|status| status.armed.or(status.prepared))
-            .max();
-        let highest = statuses.iter().map(highest_version).max()?;
+        let highest = statuses.iter().map(RankStatus::highest_version).max()?;
         let count = (highest >> VERSION_PLACER_BITS) + 1;
         let fallback = map.with_version((count << VERSION_PLACER_BITS) | placer.draw);
-        let version = version.unwrap_or(highest);
-        Some(free_group(engines, holder, pass, version, Arc::new(fallback)).await)
+        let armed = armed_version(&statuses);
+        Some(free_group(engines, holder, pass, armed, Arc::new(fallback)).await)
     };
     let result = freed.await;
     placer.groups.borrow_mut().remove(&situation.name);
@@ -75,11 +73,10 @@
     );
 }
 
-/// Returns whether the group waits for a held pass. Changes hold a pass at the first rank, and
-/// whoever frees a group at the first two.
+/// Returns whether the group waits for a held pass.
 async fn is_left_held(engines: &GroupEngines) -> bool {
     let look = || async {
-        let ranks = (0..engines.ranks().min(2)).map(|rank| engines.status(rank));
+        let ranks = (0..engines.ranks().min(HOLDING_RANKS)).map(|rank| engines.status(rank));
         let statuses = futures_util::future::join_all(ranks).await;
         held_pass(&statuses.into_iter().flatten().collect::<Vec<_>>()).map(|(_, pass)| pass)
     };
@@ -89,13 +86,3 @@
     sleep(HELD_RECHECK).await;
     look().await == Some(pass)
 }
-
-/// Returns the rank that holds the pass for which the group waits. A pass further ahead is not
-/// what the group waits for.
-fn held_pass(statuses: &[RankStatus]) -> Option<(usize, u64)> {
-    let mut ranks = statuses.iter().enumerate();
-    ranks.find_map(|(rank, status)| {
-        let pass = status.held.filter(|pass| *pass <= status.pass + 1)?;
-        Some((rank, pass))
-    })
-}
