Tell the beginning of a stream from its pauses in log and metrics

The histogram of first answers counted each stream twice, the second time with its whole duration. Change: GatewayAnswered has first_ms and longest_pause_ms, gateway_longest_pause_seconds is new, and a stream counts once.

--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -29,6 +29,8 @@
     pub requests: Family<GatewayLabels, Counter>,
     /// Time from the arrival of a request to the first event or the whole answer, in seconds.
     pub first_answer: Histogram,
+    /// Longest pause between the events of an answered stream, in seconds.
+    pub longest_pause: Histogram,
     /// Time for which requests waited for a target, in seconds.
     pub waits: Histogram,
     /// Attempts after the first one.
@@ -60,6 +62,7 @@
         let metrics = Self {
             requests: Family::default(),
             first_answer: duration_histogram(),
+            longest_pause: duration_histogram(),
             waits: duration_histogram(),
             retries: Counter::default(),
             moved_streams: Counter::default(),
@@ -78,6 +81,11 @@
                 "Time to the first event or the whole answer",
                 metrics.first_answer.clone(),
             );
+            registry.register(
+                "gateway_longest_pause_seconds",
+                "Longest pause between the events of an answered stream",
+                metrics.longest_pause.clone(),
+            );
             let waits = metrics.waits.clone();
             registry.register(
                 "gateway_wait_seconds",
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -64,14 +64,13 @@
 
 impl BegunStream {
     /// Builds the response whose body forwards the events.
-    pub fn into_response(self, run: RequestRun) -> Response<ReplyBody> {
+    pub fn into_response(self, mut run: RequestRun) -> Response<ReplyBody> {
         let parts = &self.open.parts;
         let mut headers = forwarded_headers(&parts.headers);
         // A stream that moves to another target may end with another length.
         headers.remove(CONTENT_LENGTH);
         let status = parts.status;
-        let total = run.arrived.elapsed();
-        run.state.metrics.first_answer.observe(total.as_secs_f64());
+        run.first_event = Some(run.arrived.elapsed());
         let relay = StreamRelay {
             first: Some(self.first),
             is_complete: self.is_complete,
@@ -130,8 +129,9 @@
 
     /// Notes the pause since the events before. A caller that takes its events slowly delays the
     /// reading, so that its pauses are counted from when the reading began.
-    fn note_pause(&mut self, run: &RequestRun, since: Instant) {
+    fn note_pause(&mut self, run: &mut RequestRun, since: Instant) {
         let pause = since.elapsed();
+        run.longest_pause = run.longest_pause.max(pause);
         let objective = run.matched.route.pause_objective;
         if let (Some(open), Some(objective)) = (&self.open, objective) {
             run.state
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -135,6 +135,10 @@
     runs: u32,
     arrivals: u32,
     first_sent_at: Option<Instant>,
+    /// Time from the arrival to the first events of a stream.
+    pub(super) first_event: Option<Duration>,
+    /// Longest pause between events of a stream.
+    pub(super) longest_pause: Duration,
     /// Whether the outcome has been logged.
     is_settled: bool,
 }
@@ -182,6 +186,8 @@
             runs: 0,
             arrivals: 0,
             first_sent_at: None,
+            first_event: None,
+            longest_pause: Duration::ZERO,
             is_settled: false,
         }
     }
@@ -417,8 +423,14 @@
     pub(super) fn settle_answered(&mut self, status: StatusCode) {
         self.is_settled = true;
         let total = self.arrived.elapsed();
-        self.state.metrics.first_answer.observe(total.as_secs_f64());
-        self.state.metrics.count(self.service.as_str(), "answered");
+        let first = self.first_event.unwrap_or(total);
+        let metrics = &self.state.metrics;
+        metrics.first_answer.observe(first.as_secs_f64());
+        if self.first_event.is_some() {
+            let pause = self.longest_pause.as_secs_f64();
+            metrics.longest_pause.observe(pause);
+        }
+        metrics.count(self.service.as_str(), "answered");
         let waited = self.sent_at() - self.arrived;
         log_event!(
             GatewayAnswered,
@@ -428,6 +440,8 @@
             service = self.service,
             attempts = self.arrivals,
             waited_ms = waited.as_millis(),
+            first_ms = first.as_millis(),
+            longest_pause_ms = self.longest_pause.as_millis(),
             total_ms = total.as_millis()
         );
     }
