Pace the load reports to other availability zones in large fleets

Cause: each gateway reports to all others each 400 ms, so that the bytes between zones grow with the square of the fleet. The addresses of all gateways, 4 B each, went to all of them each 2 s. Change: from 24 gateways in other zones on the interval grows to 1.2 s; a report names its interval, so that its sender counts as silent only after three of them. Addresses go out less often the more there are. An idle gateway now reports to other zones too; it looked silent there between its reports each 2 s. Test: reports_to_many_gateways_of_other_zones_are_paced. Fleets of up to 24 gateways in other zones report as before.

--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -13,10 +13,23 @@
     tokio::time::Instant,
 };
 
-/// Silence after which a peer's requests in flight no longer count. Three of its slowest reports
-/// are missing by then.
+/// Least silence after which a peer's requests in flight no longer count. Three reports of a fleet
+/// of usual size are missing by then.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1300);
 
+/// Reports of a peer that are missing when it counts as silent, if it reports more slowly.
+const MISSED_REPORTS: u32 = 3;
+
+/// Interval of reports to other availability zones, whose bytes are priced.
+const REMOTE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Reports that a gateway sends to other availability zones in a second at most, until
+/// [`LONGEST_REMOTE_INTERVAL`] is reached. A fleet of 17 gateways stays below it.
+const REMOTE_REPORTS_PER_SECOND: u32 = 60;
+
+/// Longest interval of reports to other availability zones. Loads that are older would mislead.
+const LONGEST_REMOTE_INTERVAL: Duration = Duration::from_millis(1200);
+
 /// Time for which a silent peer still counts as a sharer of the retry budget. It may only be cut
 /// off from here while it goes on sending to targets.
 const SHARER_MEMORY: Duration = Duration::from_secs(12);
@@ -42,6 +55,8 @@
     pub leaving: bool,
     /// Whether the peer has run long enough to place experts.
     pub settled: bool,
+    /// Time after which the peer reports again.
+    pub interval: Duration,
 }
 
 #[derive(Debug)]
@@ -185,5 +200,16 @@
 }
 
 fn is_live(peer: &Peer, now: Instant) -> bool {
-    now < peer.heard_at + SILENCE_LIMIT
+    let interval = peer.report.interval.min(LONGEST_REMOTE_INTERVAL);
+    now < peer.heard_at + SILENCE_LIMIT.max(interval * MISSED_REPORTS)
+}
+
+/// Returns the interval of reports to `peers` gateways in other availability zones.
+///
+/// Load pattern: hundreds of gateways, each of which reports to all others. The bytes between zones
+/// grow with the square of their number, while each gateway has a smaller part of the load.
+pub fn remote_interval(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    let paced = Duration::from_secs(1) * peers / REMOTE_REPORTS_PER_SECOND;
+    paced.clamp(REMOTE_INTERVAL, LONGEST_REMOTE_INTERVAL)
 }
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -6,7 +6,8 @@
             AttemptFailure, CallerLimits, ChannelPlan, ChoiceInput, FailureContext, GroupSeat,
             NextStep, PeerReport, PeerTable, RepeatRule, RetryAllowance, RosterChange, RouteMiss,
             RouteRule, RouteTable, TargetChoice, TargetEntry, TargetRoster, TargetState, TeamRule,
-            channel_plan::idle_limit, choose_target, decide_next_step, plan_channel,
+            channel_plan::idle_limit, choose_target, decide_next_step, peer_table::remote_interval,
+            plan_channel,
         },
         ids::{GroupName, ServiceName, ZoneName},
     },
@@ -429,6 +430,7 @@
         loads: vec![(1, in_flight)],
         leaving: false,
         settled: false,
+        interval: Duration::from_millis(100),
     }
 }
 
@@ -454,6 +456,26 @@
     assert_eq!(peers.sharers(now + Duration::from_secs(13)), 1);
 }
 
+/// 300 gateways that each report to 200 others 2.5 times a second sent 45 MB a second between zones.
+/// Reports that come more seldom must not make live gateways look silent.
+#[test]
+fn reports_to_many_gateways_of_other_zones_are_paced() {
+    let milliseconds = Duration::from_millis;
+    assert_eq!(remote_interval(0), milliseconds(400));
+    assert_eq!(remote_interval(13), milliseconds(400));
+    assert_eq!(remote_interval(48), milliseconds(800));
+    assert_eq!(remote_interval(200), milliseconds(1_200));
+    let (peer, now) = (Ipv4Addr::new(10, 0, 0, 2), Instant::now());
+    let mut peers = PeerTable::default();
+    let slow = PeerReport {
+        interval: remote_interval(200),
+        ..report(1, 1, 9)
+    };
+    peers.record(peer, slow, now);
+    assert_eq!(peers.loads(now + milliseconds(3_500)).count(), 1);
+    assert_eq!(peers.loads(now + milliseconds(3_700)).count(), 0);
+}
+
 /// While gateways are started again one after the other, the ones that have run for long place.
 #[test]
 fn placers_are_gateways_that_have_run_for_long() {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -11,7 +11,8 @@
     prost::Message,
     sassafrasslip_core::{
         dispatch::{
-            GroupSeat, PeerReport, TargetEntry, TargetRoster, TargetState, peer_table::PeerLoad,
+            GroupSeat, PeerReport, TargetEntry, TargetRoster, TargetState,
+            peer_table::{PeerLoad, remote_interval},
         },
         events::LogEvent::{FrameDropped, PeerChanged},
         log_event,
@@ -40,15 +41,16 @@
 /// Interval of reports within the availability zone. Gateways of a zone fill the same targets.
 const ZONE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Reports within the zone for each report to other zones, whose bytes are priced.
-const REPORTS_PER_REMOTE: u64 = 4;
-
 /// Reports within the zone after which one is sent although nothing is in flight.
 const REPORTS_PER_HEARTBEAT: u64 = 5;
 
-/// Reports within the zone for each one that names the known gateways.
+/// Reports within the zone for each one that names the known gateways, at least.
 const REPORTS_PER_GOSSIP: u64 = 20;
 
+/// Known gateways for each of these reports. Their addresses are sent to all of them, so that the
+/// bytes would grow with the square of their number.
+const GATEWAYS_PER_GOSSIP: u64 = 2;
+
 /// Largest datagram that is read, in bytes.
 const MOST_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -119,7 +121,13 @@
         expire(&state, now);
         let mut report = own_report(&state, incarnation, tick);
         let is_idle = report.targets.is_empty();
-        let gossips = state.gossips.take() || tick.is_multiple_of(REPORTS_PER_GOSSIP);
+        let (known, remote) = {
+            let peers = state.peers.borrow();
+            let remote = peers.addresses(&state.own_zone, false);
+            (peers.known().len() as u64, remote)
+        };
+        let gossip_ticks = REPORTS_PER_GOSSIP.max(known / GATEWAYS_PER_GOSSIP);
+        let gossips = state.gossips.take() || tick.is_multiple_of(gossip_ticks);
         if gossips {
             report.gateways = state
                 .peers
@@ -133,21 +141,29 @@
         let is_due =
             gossips || !(is_idle && was_idle) || tick.is_multiple_of(REPORTS_PER_HEARTBEAT);
         was_idle = is_idle;
-        if !is_due {
-            continue;
+        if is_due {
+            report.interval_ms = ZONE_INTERVAL.as_millis() as u32;
+            let local = state.peers.borrow().addresses(&state.own_zone, true);
+            send_report(&socket, &report, &local, port);
         }
-        let datagram = report.encode_to_vec();
-        let mut addresses = state.peers.borrow().addresses(&state.own_zone, true);
-        if tick.is_multiple_of(REPORTS_PER_REMOTE) || gossips {
-            addresses.extend(state.peers.borrow().addresses(&state.own_zone, false));
-        }
-        for address in addresses {
-            // A datagram that cannot be sent is as good as lost; the next one replaces it.
-            let _ = socket.try_send_to(&datagram, SocketAddr::from((address, port)));
+        // Sent by an idle gateway too, which would look silent in other zones otherwise.
+        let interval = remote_interval(remote.len());
+        let remote_ticks = interval.as_millis().div_ceil(ZONE_INTERVAL.as_millis()) as u64;
+        if gossips || tick.is_multiple_of(remote_ticks) {
+            report.interval_ms = interval.as_millis() as u32;
+            send_report(&socket, &report, &remote, port);
         }
     }
 }
 
+fn send_report(socket: &UdpSocket, report: &LoadReport, addresses: &[Ipv4Addr], port: u16) {
+    let datagram = report.encode_to_vec();
+    for address in addresses {
+        // A datagram that cannot be sent is as good as lost; the next one replaces it.
+        let _ = socket.try_send_to(&datagram, SocketAddr::from((*address, port)));
+    }
+}
+
 /// Returns the addresses of the seeds without the own one.
 fn seeds(state: &GatewayState) -> Vec<Ipv4Addr> {
     let own = state.own_address();
@@ -181,6 +197,7 @@
         gateways: Vec::new(),
         leaving: state.leaving.get(),
         settled: state.is_settled(Instant::now()),
+        interval_ms: 0,
     }
 }
 
@@ -225,6 +242,7 @@
         loads,
         leaving: report.leaving,
         settled: report.settled,
+        interval: Duration::from_millis(report.interval_ms.into()),
     };
     let is_new = peers.record(address, report, now);
     drop(peers);
