Count the move of a stream as a pause of it

Change: the pause counts from the event before. The bound on requests still takes only pauses at one target.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -106,6 +106,8 @@
         if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
             return Ok(Some(first));
         }
+        // The caller sees the move to another target as a pause.
+        let waiting_since = Instant::now();
         while !self.is_complete {
             let Some(open) = &mut self.open else {
                 return Err(self.cut(run, "no target"));
@@ -114,6 +116,7 @@
             match next_events(run, open, &mut self.splitter).await {
                 Ok(Some(events)) => {
                     self.note_pause(run, since);
+                    run.longest_pause = run.longest_pause.max(waiting_since.elapsed());
                     return Ok(Some(events));
                 }
                 Ok(None) => self.is_complete = true,
@@ -129,9 +132,8 @@
 
     /// Notes the pause since the events before. A caller that takes its events slowly delays the
     /// reading, so that its pauses are counted from when the reading began.
-    fn note_pause(&mut self, run: &mut RequestRun, since: Instant) {
+    fn note_pause(&mut self, run: &RequestRun, since: Instant) {
         let pause = since.elapsed();
-        run.longest_pause = run.longest_pause.max(pause);
         let objective = run.matched.route.pause_objective;
         if let (Some(open), Some(objective)) = (&self.open, objective) {
             run.state
