--- a/crates/core/src/dispatch/rank_status.rs
+++ b/crates/core/src/dispatch/rank_status.rs
@@ -1,7 +1,8 @@
 //! What the ranks of a group say about map changes, and what a placer concludes from it.
 //!
-//! Reports are some hundred milliseconds old. They tell which pass to hold and which versions are
-//! known; no rule rests on them alone.
+//! Reports are some hundred milliseconds old. They tell which pass to hold, and that none is held
+//! already; loading experts takes longer than a report needs, so that a hold of another placer from
+//! before shows in it (see the assumption of `model/map_switch.pml`).
 
 use {super::map_switch::RankIndex, std::time::Duration};
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -293,15 +293,18 @@
     };
     let list_unchanged =
         question.list_digest != 0 && question.list_digest == state.list_digest.get();
-    let roster = state.roster.borrow();
-    // A target that is only kept here may be known as gone to the peer.
-    let targets = roster.listed().filter(|_| !list_unchanged);
-    let targets = targets.map(target_record);
+    let targets = if list_unchanged {
+        Vec::new()
+    } else {
+        // A target that is only kept here may be known as gone to the peer.
+        let roster = state.roster.borrow();
+        roster.listed().map(target_record).collect()
+    };
     let now = Instant::now();
     let milliseconds = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     Snapshot {
         document,
-        targets: targets.collect(),
+        targets,
         list_age_ms: milliseconds(state.list_age(now)),
         configuration_age_ms: milliseconds(state.configuration_age(now)),
         list_unchanged,
