Ask for the lease's end when operators read the configuration

The view that requests use checks the end of the lease against the clock, but the answer to operators came from the holder's state, which changes when a timer has run. An entry that was frozen for longer than its lease answered by its old revision as if it held a live lease; its line LeaseLapsed stands 0.3 ms before its link closed, after the answer. Change: the holder's view takes the time and counts a lease that has ended as lapsed. Test: lease_that_has_ended_is_not_live_before_the_timer_has_run, which failed before.

--- a/crates/core/src/configuration/lease.rs
+++ b/crates/core/src/configuration/lease.rs
@@ -148,11 +148,13 @@
         }
     }
 
-    /// Returns the view in force.
-    pub fn view(&self) -> ConfigurationView {
+    /// Returns the view in force at the time `now`. A process that was paused may be asked for it
+    /// before its timer has told that the lease has ended.
+    pub fn view(&self, now: Instant) -> ConfigurationView {
+        let ended = self.expires_at.is_some_and(|end| now >= end);
         ConfigurationView {
             snapshot: self.snapshot.clone().unwrap_or_default(),
-            lease_live: self.state == HolderState::Live,
+            lease_live: self.state == HolderState::Live && !ended,
             lease_expires_at: self.expires_at,
         }
     }
--- a/crates/core/tests/configuration_holder.rs
+++ b/crates/core/tests/configuration_holder.rs
@@ -49,7 +49,18 @@
     let now = started + LEASE;
     assert_eq!(holder.on_granted(late, now), HolderEffect::BecameCutOff);
     assert_eq!(holder.on_granted(late, now), HolderEffect::Nothing);
-    assert!(!holder.view().lease_live);
+    assert!(!holder.view(now).lease_live);
+}
+
+/// An entry that was frozen for longer than its lease answered operators by its old revision as if
+/// the lease were live, until its timer ran.
+#[test]
+fn lease_that_has_ended_is_not_live_before_the_timer_has_run() {
+    let (mut holder, started) = (LeaseHolder::new().unwrap(), Instant::now());
+    holder.on_granted(grant(RenewalKind::Acquire, started), started);
+    let before = started + LEASE - Duration::from_millis(1);
+    assert!(holder.view(before).lease_live);
+    assert!(!holder.view(started + LEASE).lease_live);
 }
 
 #[test]
@@ -335,7 +346,7 @@
             for holder in holders.chain(&fleet.earlier) {
                 let behind = holder.applied() < Some(fleet.accepted);
                 prop_assert!(
-                    !(holder.view().lease_live && behind),
+                    !(holder.view(fleet.now).lease_live && behind),
                     "revision {} was accepted, a live holder is at {:?}",
                     fleet.accepted,
                     holder.applied()
--- a/crates/daemon/src/entry/configuration.rs
+++ b/crates/daemon/src/entry/configuration.rs
@@ -177,7 +177,10 @@
             return;
         }
         self.publish_running = true;
-        let (fleet, view) = (self.fleet.clone(), Arc::new(self.holder.view()));
+        let (fleet, view) = (
+            self.fleet.clone(),
+            Arc::new(self.holder.view(Instant::now())),
+        );
         self.spawn_call(async move {
             let published = timeout(REVISION_PUBLISH_TIMEOUT, fleet.publish(view)).await;
             PublishEnded(published.ok().and(applied))
@@ -192,11 +195,17 @@
                 self.start_publish();
             }
             HolderEffect::BecameCutOff => {
-                log_event!(LeaseLapsed, revision = self.holder.view().revision());
+                log_event!(
+                    LeaseLapsed,
+                    revision = self.holder.view(Instant::now()).revision()
+                );
                 self.send_view();
             }
             HolderEffect::BecameLive => {
-                log_event!(LeaseRenewed, revision = self.holder.view().revision());
+                log_event!(
+                    LeaseRenewed,
+                    revision = self.holder.view(Instant::now()).revision()
+                );
                 self.send_view();
                 self.restart_expiry_timer();
             }
@@ -209,12 +218,13 @@
     }
 
     fn send_view(&self) {
-        self.view_sender.send_replace(Arc::new(self.holder.view()));
+        self.view_sender
+            .send_replace(Arc::new(self.holder.view(Instant::now())));
     }
 
     /// Replaces the view without waking its receivers: only the end of the lease has changed.
     fn extend_view(&self) {
-        let view = Arc::new(self.holder.view());
+        let view = Arc::new(self.holder.view(Instant::now()));
         self.view_sender.send_if_modified(|current| {
             *current = view;
             false
--- a/crates/daemon/src/entry/configuration/messages.rs
+++ b/crates/daemon/src/entry/configuration/messages.rs
@@ -46,7 +46,7 @@
         context: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         if self.holder.applied().is_some() {
-            request.pin_revision(&self.holder.view().snapshot);
+            request.pin_revision(&self.holder.view(Instant::now()).snapshot);
         }
         let executor = ChangeExecutor::new(self.store.clone(), self.published.subscribe());
         let actor = context.actor_ref().clone();
@@ -77,7 +77,7 @@
     type Reply = result::Result<ConfigurationView, Infallible>;
 
     async fn handle(&mut self, _: ReadView, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        Ok(self.holder.view())
+        Ok(self.holder.view(Instant::now()))
     }
 }
 
