--- a/crates/core/src/configuration/lease.rs
+++ b/crates/core/src/configuration/lease.rs
@@ -93,6 +93,11 @@
     Nothing,
 }
 
+/// Returns whether a lease has ended; one that is not held has not.
+pub(super) fn has_ended(expires_at: Option<Instant>, now: Instant) -> bool {
+    expires_at.is_some_and(|end| now >= end)
+}
+
 /// Holder of a configuration lease.
 #[derive(Clone, Debug)]
 pub struct LeaseHolder {
@@ -148,13 +153,17 @@
         }
     }
 
+    /// Returns the snapshot in force; an empty one if none was read yet.
+    pub fn snapshot(&self) -> Arc<ConfigurationSnapshot> {
+        self.snapshot.clone().unwrap_or_default()
+    }
+
     /// Returns the view in force at the time `now`. A process that was paused may be asked for it
     /// before its timer has told that the lease has ended.
     pub fn view(&self, now: Instant) -> ConfigurationView {
-        let ended = self.expires_at.is_some_and(|end| now >= end);
         ConfigurationView {
-            snapshot: self.snapshot.clone().unwrap_or_default(),
-            lease_live: self.state == HolderState::Live && !ended,
+            snapshot: self.snapshot(),
+            lease_live: self.state == HolderState::Live && !has_ended(self.expires_at, now),
             lease_expires_at: self.expires_at,
         }
     }
@@ -189,7 +198,7 @@
 
     /// Ends the lease if its time is over.
     pub fn expire(&mut self, now: Instant) -> HolderEffect {
-        if self.expires_at.is_some_and(|expires_at| now >= expires_at) {
+        if has_ended(self.expires_at, now) {
             self.handle(HolderEvent::Expired)
         } else {
             HolderEffect::Nothing
--- a/crates/core/src/configuration/view.rs
+++ b/crates/core/src/configuration/view.rs
@@ -4,6 +4,7 @@
     super::{
         Revision,
         catalogue::{SettingKey, SettingValue},
+        lease::has_ended,
         snapshot::{ConfigurationSnapshot, ResolvedSetting, SettingTarget},
     },
     std::sync::Arc,
@@ -25,8 +26,7 @@
 impl ConfigurationView {
     /// Returns the view as it is at the time `now`: without a live lease once the lease has ended.
     pub fn at(self: &Arc<Self>, now: Instant) -> Arc<Self> {
-        let ended = self.lease_expires_at.is_some_and(|end| now >= end);
-        if !self.lease_live || !ended {
+        if !self.lease_live || !has_ended(self.lease_expires_at, now) {
             return Arc::clone(self);
         }
         Arc::new(Self {
--- a/crates/core/src/dispatch/map_switch.rs
+++ b/crates/core/src/dispatch/map_switch.rs
@@ -52,6 +52,11 @@
 /// Bits of a version that tell placers apart; the bits above them count.
 pub const VERSION_PLACER_BITS: u32 = 16;
 
+/// Returns the version of a placer that follows `highest`; `draw` are the bits that tell it apart.
+pub const fn version_after(highest: u64, draw: u64) -> u64 {
+    (((highest >> VERSION_PLACER_BITS) + 1) << VERSION_PLACER_BITS) | draw
+}
+
 /// Passes by which a refused hold is moved on, and how often it is.
 const HOLD_STRIDE: u64 = 1;
 const HOLD_TRIES: u32 = 6;
--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -5,11 +5,7 @@
 
 use {
     crate::ids::ZoneName,
-    std::{
-        collections::{HashMap, HashSet},
-        net::Ipv4Addr,
-        time::Duration,
-    },
+    std::{collections::HashMap, net::Ipv4Addr, time::Duration},
     tokio::time::Instant,
 };
 
@@ -181,8 +177,8 @@
     }
 
     /// Returns every address that is worth telling to others.
-    pub fn known(&self) -> HashSet<Ipv4Addr> {
-        self.peers.keys().copied().collect()
+    pub fn known(&self) -> impl ExactSizeIterator<Item = Ipv4Addr> {
+        self.peers.keys().copied()
     }
 
     /// Returns the number of gateways that may send retries now, this one included.
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -67,7 +67,7 @@
     let free = ready().filter(|(key, target)| {
         is_usable(target, now)
             && !input.tried.contains(key)
-            && load(target) < slots(target)
+            && target.in_flight() < slots(target)
             && !summary.is_full(target, input)
     });
     let free: Vec<_> = free.collect();
@@ -98,7 +98,7 @@
         self.usable += usize::from(is_usable(target, now));
         if let Some(seat) = &target.entry.group {
             self.broken += usize::from(!target.group_runs);
-            *self.group_loads.entry(&seat.name).or_default() += load(target);
+            *self.group_loads.entry(&seat.name).or_default() += target.in_flight();
         }
     }
 
@@ -120,10 +120,6 @@
     target.group_runs && !target.is_superseded && target.health.is_usable(now)
 }
 
-fn load(target: &DirectTarget) -> u32 {
-    target.own_in_flight + target.peer_in_flight
-}
-
 fn slots(target: &DirectTarget) -> u32 {
     let limit = target.entry.slots.max(1);
     // A target on trial gets one request of this gateway.
@@ -136,5 +132,5 @@
     } else {
         ZONE_PREFERENCE_SLOTS
     };
-    f64::from(load(target)) + zone + FAILURE_WEIGHT_SLOTS * target.health.failure_share()
+    f64::from(target.in_flight()) + zone + FAILURE_WEIGHT_SLOTS * target.health.failure_share()
 }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -77,11 +77,6 @@
     pub fn is_named(&self, name: &str) -> bool {
         name == &*self.id || name.parse() == Ok(self.address)
     }
-
-    /// Returns the hash by which gateways name the target to each other.
-    pub fn name_hash(&self) -> u32 {
-        xxh3_64(self.id.as_bytes()) as u32
-    }
 }
 
 /// Target with what this gateway knows about it.
@@ -89,6 +84,9 @@
 pub struct DirectTarget {
     /// Latest entry of the list.
     pub entry: TargetEntry,
+    /// Hash by which gateways name the target to each other. It is compared with each report of
+    /// each peer.
+    pub name_hash: u32,
     /// Requests of this gateway in flight.
     pub own_in_flight: u32,
     /// Requests of peers in flight.
@@ -106,6 +104,13 @@
     pub listed_at: Instant,
 }
 
+impl DirectTarget {
+    /// Returns the requests of all gateways in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.own_in_flight + self.peer_in_flight
+    }
+}
+
 /// Change of a target that the list has shown.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RosterChange {
@@ -207,7 +212,7 @@
             *sums.entry(hash).or_default() += in_flight;
         }
         for target in self.targets.values_mut() {
-            let sum = sums.get(&target.entry.name_hash());
+            let sum = sums.get(&target.name_hash);
             target.peer_in_flight = sum.copied().unwrap_or_default();
         }
     }
@@ -241,22 +246,19 @@
 
     /// Returns the requests that all gateways have in flight at the ranks of a group.
     pub fn group_load(&self, name: &GroupName) -> u32 {
-        let ranks = self.targets.values().filter(|target| {
-            let seat = target.entry.group.as_ref();
-            seat.is_some_and(|seat| seat.name == *name)
-        });
-        ranks
-            .map(|target| target.own_in_flight + target.peer_in_flight)
-            .sum()
+        self.ranks_of(name).map(DirectTarget::in_flight).sum()
     }
 
     /// Returns the requests that this gateway has in flight at the ranks of a group.
     pub fn own_group_load(&self, name: &GroupName) -> u32 {
-        let ranks = self.targets.values().filter(|target| {
+        self.ranks_of(name).map(|target| target.own_in_flight).sum()
+    }
+
+    fn ranks_of(&self, name: &GroupName) -> impl Iterator<Item = &DirectTarget> {
+        self.targets.values().filter(move |target| {
             let seat = target.entry.group.as_ref();
             seat.is_some_and(|seat| seat.name == *name)
-        });
-        ranks.map(|target| target.own_in_flight).sum()
+        })
     }
 
     /// Returns the groups.
@@ -377,6 +379,7 @@
         }
         let id = Arc::clone(&entry.id);
         let key = self.targets.insert(DirectTarget {
+            name_hash: xxh3_64(id.as_bytes()) as u32,
             entry,
             own_in_flight: 0,
             peer_in_flight: 0,
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -310,13 +310,7 @@
     run_paused(async {
         let group = Group::new();
         group.borrow_mut().ranks[0].held = Some(5);
-        for rank in 0..RANKS {
-            let prepare = RankOrder::Prepare {
-                version: 10,
-                map: map(10),
-            };
-            group.borrow_mut().apply(rank, &prepare, 1);
-        }
+        prepare_all(&group, 10, 1);
         let late = Rc::clone(&group);
         tokio::task::spawn_local(async move {
             // Between the disarming of all ranks and the preparing of the newer version.
@@ -344,13 +338,7 @@
         start_passes(&group);
         let mut gone = placer(&group, 1, 1);
         gone.silent = vec![5];
-        for rank in 0..RANKS {
-            let prepare = RankOrder::Prepare {
-                version: 10,
-                map: map(10),
-            };
-            group.borrow_mut().apply(rank, &prepare, 1);
-        }
+        prepare_all(&group, 10, 1);
         let pass = group.borrow().pass + 4;
         group.borrow_mut().apply(0, &RankOrder::Hold { pass }, 1);
         for rank in 0..3 {
@@ -380,14 +368,7 @@
     run_paused(async {
         let group = Group::new();
         group.borrow_mut().ranks[0].held = Some(5);
-        for rank in 0..RANKS {
-            let version = (9 << 16) | 3;
-            let prepare = RankOrder::Prepare {
-                version,
-                map: map(version),
-            };
-            group.borrow_mut().apply(rank, &prepare, 2);
-        }
+        prepare_all(&group, (9 << 16) | 3, 2);
         let fallback = map((4 << 16) | 1);
         let armed = Some((3 << 16) | 1);
         let result = free_group(&placer(&group, 1, 1), 0, 5, armed, fallback).await;
--- a/crates/daemon/src/entry/configuration.rs
+++ b/crates/daemon/src/entry/configuration.rs
@@ -195,17 +195,11 @@
                 self.start_publish();
             }
             HolderEffect::BecameCutOff => {
-                log_event!(
-                    LeaseLapsed,
-                    revision = self.holder.view(Instant::now()).revision()
-                );
+                log_event!(LeaseLapsed, revision = self.holder.snapshot().revision);
                 self.send_view();
             }
             HolderEffect::BecameLive => {
-                log_event!(
-                    LeaseRenewed,
-                    revision = self.holder.view(Instant::now()).revision()
-                );
+                log_event!(LeaseRenewed, revision = self.holder.snapshot().revision);
                 self.send_view();
                 self.restart_expiry_timer();
             }
--- a/crates/daemon/src/entry/configuration/messages.rs
+++ b/crates/daemon/src/entry/configuration/messages.rs
@@ -46,7 +46,7 @@
         context: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         if self.holder.applied().is_some() {
-            request.pin_revision(&self.holder.view(Instant::now()).snapshot);
+            request.pin_revision(&self.holder.snapshot());
         }
         let executor = ChangeExecutor::new(self.store.clone(), self.published.subscribe());
         let actor = context.actor_ref().clone();
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -129,13 +129,7 @@
         let gossip_ticks = REPORTS_PER_GOSSIP.max(known / GATEWAYS_PER_GOSSIP);
         let gossips = state.gossips.take() || tick.is_multiple_of(gossip_ticks);
         if gossips {
-            report.gateways = state
-                .peers
-                .borrow()
-                .known()
-                .into_iter()
-                .map(u32::from)
-                .collect();
+            report.gateways = state.peers.borrow().known().map(u32::from).collect();
         }
         // A report that says that nothing is left in flight matters as much as one of load.
         let is_due =
@@ -186,7 +180,7 @@
     let roster = state.roster.borrow();
     let busy = roster.iter().filter(|(_, target)| target.own_in_flight > 0);
     let (targets, in_flight) = busy
-        .map(|(_, target)| (target.entry.name_hash(), target.own_in_flight))
+        .map(|(_, target)| (target.name_hash, target.own_in_flight))
         .unzip();
     LoadReport {
         incarnation,
@@ -458,18 +452,19 @@
     };
     // The own list may have been replaced since the peer was asked; it is asked again soon.
     let is_unchanged = snapshot.list_unchanged && state.list_digest.get() == asked_digest;
-    let entries: Vec<_> = if is_unchanged {
-        state.roster.borrow().listed().cloned().collect()
-    } else {
-        let records = snapshot.targets.into_iter();
-        records.filter_map(target_entry).collect()
-    };
-    if is_newer && !entries.is_empty() {
+    let records = snapshot.targets.into_iter();
+    let entries: Vec<_> = records.filter_map(target_entry).collect();
+    if is_newer && (is_unchanged || !entries.is_empty()) {
         if state.list_age(asked_at) > OUTAGE_AGE {
             let regained_at = read_at.unwrap_or(asked_at);
             state.roster.borrow_mut().regained(regained_at);
         }
-        state.apply_listing(entries, read_at.unwrap_or(asked_at), "peer");
+        let read_at = read_at.unwrap_or(asked_at);
+        if is_unchanged {
+            state.renew_listing(read_at, "peer");
+        } else {
+            state.apply_listing(entries, read_at, "peer");
+        }
     }
     Ok(())
 }
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -15,10 +15,11 @@
     super::{engines::GroupEngines, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
-            EngineProfile, ExpertProfile, PassPace, RankStatus, SwitchResult,
+            DirectTarget, EngineProfile, ExpertProfile, GroupSeat, PassPace, RankStatus,
+            SwitchResult,
             demand_window::DemandWindow,
             map_plan::{PlanFigures, pass_is_slow, plan_change},
-            map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS},
+            map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS, version_after},
             pass_to_hold, switch_map,
         },
         events::LogEvent::{MapPlanned, MapSwitched},
@@ -28,7 +29,7 @@
     },
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::Ipv4Addr,
         rc::Rc,
         sync::Arc,
@@ -82,6 +83,7 @@
 /// Figures of a group at one moment.
 struct GroupSituation {
     name: GroupName,
+    service: ServiceName,
     epoch: u64,
     engines: GroupEngines,
     in_flight: u32,
@@ -101,21 +103,19 @@
         let Some(table) = state.table() else {
             continue;
         };
-        for (service, name) in group_names(&state) {
-            let rule = table.service(&service);
+        for situation in situations(&state) {
+            let rule = table.service(&situation.service);
             let Some(engine) = rule.and_then(|rule| rule.engine) else {
                 continue;
             };
             let Some(experts) = engine.experts else {
                 continue;
             };
+            let name = situation.name.clone();
             let busy = Rc::clone(placer.busy.borrow_mut().entry(name.clone()).or_default());
             if busy.get() {
                 continue;
             }
-            let Some(situation) = situation(&state, &name) else {
-                continue;
-            };
             let (state, placer) = (Rc::clone(&state), Rc::clone(&placer));
             let places = state.started_at.elapsed() >= START_PAUSE && is_placer(&state, &name);
             if !places {
@@ -173,57 +173,52 @@
     }
 }
 
-fn group_names(state: &GatewayState) -> Vec<(ServiceName, GroupName)> {
+/// Gathers the figures of the groups that run and of which every rank is known, in one pass over
+/// the targets. A rank that drains takes part in each pass until it leaves.
+fn situations(state: &GatewayState) -> Vec<GroupSituation> {
     let roster = state.roster.borrow();
-    let mut names: Vec<_> = roster
-        .iter()
-        .filter_map(|(_, target)| {
-            let seat = target.entry.group.as_ref()?;
-            (seat.rank == 0).then(|| (target.entry.service.clone(), seat.name.clone()))
-        })
-        .collect();
-    names.sort();
-    names.dedup();
-    names
+    let mut ranks: BTreeMap<&GroupName, Vec<(&GroupSeat, &DirectTarget)>> = BTreeMap::new();
+    for (_, target) in roster.iter() {
+        if let Some(seat) = &target.entry.group {
+            ranks.entry(&seat.name).or_default().push((seat, target));
+        }
+    }
+    let views = roster.groups();
+    let situations = ranks.into_iter().filter_map(|(name, ranks)| {
+        let view = views.get(name).filter(|view| view.is_open)?;
+        GroupSituation::gather(name, view.epoch, ranks)
+    });
+    situations.collect()
 }
 
-/// Gathers the figures of a group; `None` unless it runs and every rank is known. A rank that drains
-/// takes part in each pass until it leaves.
-fn situation(state: &GatewayState, name: &GroupName) -> Option<GroupSituation> {
-    let roster = state.roster.borrow();
-    let view = roster
-        .groups()
-        .get(name)
-        .copied()
-        .filter(|view| view.is_open)?;
-    let mut seats = Vec::new();
-    let mut size = 0;
-    let (mut progress_at, mut own) = (None, 0);
-    for (_, target) in roster.iter().filter(|(_, target)| !target.is_superseded) {
-        let Some(seat) = target
-            .entry
-            .group
-            .as_ref()
-            .filter(|seat| seat.name == *name)
-        else {
-            continue;
-        };
-        size = seat.size;
-        own += target.own_in_flight;
-        progress_at = progress_at.max(target.progress_at);
-        seats.push((seat.rank, (target.entry.id.clone(), target.entry.address)));
+impl GroupSituation {
+    /// Gathers the figures of a group; `None` unless every rank is known.
+    fn gather(
+        name: &GroupName,
+        epoch: u64,
+        mut ranks: Vec<(&GroupSeat, &DirectTarget)>,
+    ) -> Option<Self> {
+        // Requests at a target that has lost its seat are still in flight.
+        let in_flight = ranks.iter().map(|(_, target)| target.in_flight()).sum();
+        ranks.retain(|(_, target)| !target.is_superseded);
+        ranks.sort_by_key(|(seat, _)| seat.rank);
+        let (first, target) = *ranks.first()?;
+        let numbers = ranks.iter().map(|(seat, _)| seat.rank);
+        if !numbers.eq(0..first.size) {
+            return None;
+        }
+        let targets = || ranks.iter().map(|(_, target)| target);
+        let seats = targets().map(|target| (target.entry.id.clone(), target.entry.address));
+        Some(Self {
+            name: name.clone(),
+            service: target.entry.service.clone(),
+            epoch,
+            engines: GroupEngines::new(name.clone(), epoch, seats.collect()),
+            in_flight,
+            progress_at: targets().filter_map(|target| target.progress_at).max(),
+            has_own_requests: targets().any(|target| target.own_in_flight > 0),
+        })
     }
-    seats.sort_by_key(|(rank, _)| *rank);
-    let is_complete = seats.iter().map(|(rank, _)| *rank).eq(0..size);
-    let seats = seats.into_iter().map(|(_, seat)| seat).collect();
-    is_complete.then(|| GroupSituation {
-        name: name.clone(),
-        epoch: view.epoch,
-        engines: GroupEngines::new(name.clone(), view.epoch, seats),
-        in_flight: roster.group_load(name),
-        progress_at,
-        has_own_requests: own > 0,
-    })
 }
 
 /// Returns whether this gateway places the experts of a group.
@@ -409,7 +404,6 @@
 fn next_version(placer: &Placer, name: &GroupName) -> Option<u64> {
     let mut groups = placer.groups.borrow_mut();
     let group = groups.get_mut(name)?;
-    let count = (group.highest_version >> VERSION_PLACER_BITS) + 1;
-    group.highest_version = (count << VERSION_PLACER_BITS) | placer.draw;
+    group.highest_version = version_after(group.highest_version, placer.draw);
     Some(group.highest_version)
 }
--- a/crates/daemon/src/gateway/placer/recovery.rs
+++ b/crates/daemon/src/gateway/placer/recovery.rs
@@ -8,7 +8,7 @@
     sassafrasslip_core::{
         dispatch::{
             ExpertProfile, RankControl, RankStatus, armed_version, free_group, held_pass,
-            map_switch::{HOLDING_RANKS, VERSION_PLACER_BITS},
+            map_switch::{HOLDING_RANKS, version_after},
         },
         events::LogEvent::GroupFreed,
         log_event,
@@ -58,8 +58,7 @@
         let (holder, pass) = held_pass(&statuses)?;
         let map = engines.map_in_use(experts.sets, experts.experts).await?;
         let highest = statuses.iter().map(RankStatus::highest_version).max()?;
-        let count = (highest >> VERSION_PLACER_BITS) + 1;
-        let fallback = map.with_version((count << VERSION_PLACER_BITS) | placer.draw);
+        let fallback = map.with_version(version_after(highest, placer.draw));
         let armed = armed_version(&statuses);
         Some(free_group(engines, holder, pass, armed, Arc::new(fallback)).await)
     };
--- a/crates/daemon/src/gateway/reload.rs
+++ b/crates/daemon/src/gateway/reload.rs
@@ -23,8 +23,7 @@
         match DaemonOptions::load_gateway(&arguments) {
             Ok(new) => {
                 telemetry::logs::set_level(&new.log);
-                let needs_restart =
-                    format!("{:?}", new.gateway) != format!("{:?}", options.gateway);
+                let needs_restart = new.gateway != options.gateway;
                 log_event!(SettingsReloaded, needs_restart = needs_restart);
                 options = new;
             }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -159,10 +159,20 @@
 
     /// Replaces the list of targets.
     pub fn apply_listing(&self, entries: Vec<TargetEntry>, now: Instant, source: &'static str) {
-        let changes = self.roster.borrow_mut().apply(entries, now);
-        self.listed_at.set(Some(now));
+        self.replace_listing(entries, now, source);
         let digest = list_digest(&self.roster.borrow());
         self.list_digest.set(digest);
+    }
+
+    /// Notes that the list of targets was read again and is unchanged.
+    pub fn renew_listing(&self, now: Instant, source: &'static str) {
+        let entries = self.roster.borrow().listed().cloned().collect();
+        self.replace_listing(entries, now, source);
+    }
+
+    fn replace_listing(&self, entries: Vec<TargetEntry>, now: Instant, source: &'static str) {
+        let changes = self.roster.borrow_mut().apply(entries, now);
+        self.listed_at.set(Some(now));
         self.recount_peers(now);
         self.note_changes(&changes, source);
     }
--- a/crates/daemon/src/options/gateway.rs
+++ b/crates/daemon/src/options/gateway.rs
@@ -9,7 +9,7 @@
 
 /// Addresses and bounds of a gateway.
 #[serde_as]
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct GatewayOptions {
     /// Address for callers.
