Plan whole sets of experts in one change and give large maps the time to arrive

Cause: a plan added one replica at a time for the single hottest rank and stopped where two ranks were equally hot, so that a shift at 64 ranks took four changes. A prepare order of 15 kB was given up after 35 ms, although 64 of them fill a gateway's link for 80 ms, and was sent again; each change opened a channel to every rank anew. A bound of the platform with a fraction kept the whole fleet from starting at a small size.

Ruled out: processor time and memory of gateways (0.02 of a core, 14 MB).

Change: a local search over replicas, moves and swaps with a high power of the loads as its objective; answers are awaited for as long as the body takes to arrive; channels to engines are kept; accepted orders are counted in the line of their change. Numbers and durations of the settings may have fractions, absent ones take their default, very long ones are capped; intervals of reading the store follow the bounds of the settings.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -97,7 +97,7 @@
     5010 MapPlanned Info "expert map planned";
     5011 MapSwitched Info "expert map change ended";
     5012 GroupFreed Warn "group that was left held is freed";
-    5013 OrderGiven Info "order to an engine";
+    5013 OrderMissed Info "order to an engine was refused or not answered";
     6001 ClaimInserted Info "start record inserted";
     6002 ClaimLost Info "another attempt holds the key";
     6003 ClaimDone Info "answer of a non-idempotent call stored";
--- a/crates/core/src/placement/responsive.rs
+++ b/crates/core/src/placement/responsive.rs
@@ -1,14 +1,31 @@
-//! Small map changes that answer a sudden shift of the demand.
+//! Map changes that answer a sudden shift of the demand.
 //!
-//! Load pattern: within one second another expert of each layer draws a quarter of all tokens. A
+//! Load pattern: within one second other experts of each layer draw a large part of all tokens. A
 //! full placement would load many experts, and the demand would have shifted again before it is in
-//! force. A few replicas of the hottest experts take most of the skew away, and the time to load
-//! them is that of the rank that loads most.
+//! force. The time to load experts is that of the rank that loads most, so that a change in which
+//! every rank loads a few takes no longer than one in which a single rank does.
+//!
+//! A local search relieves the hottest rank of the worst layer, one step at a time. Its objective
+//! is a high power of the loads instead of their maximum: with several ranks that are equally hot,
+//! relieving one of them does not lower the maximum, but is a step towards it. Replicating the
+//! experts with the largest share on the ranks with the least load follows the expert parallelism
+//! load balancer of DeepSeek-V3 (arXiv:2412.19437, section 3.4); the bounds on loads and the
+//! search from the map in use are ours.
+
+use {
+    super::{ExpertCounts, ExpertMap, GroupShape, RankNumber, expert_map::Result, layer_loads},
+    std::collections::BTreeSet,
+};
+
+/// Excess of the hottest rank over the mean below which a layer is left as it is. Samples of the
+/// demand are less exact than that.
+const TOLERATED_EXCESS: f64 = 0.04;
 
-use super::{ExpertCounts, ExpertMap, GroupShape, RankNumber, expert_map::Result, layer_loads};
+/// Least fall of the objective for one load, as a share of what the hottest rank adds to it.
+const LEAST_GAIN: f64 = 0.05;
 
-/// Gain of a replica below which none is added, as a share of the mean load of a rank.
-const LEAST_GAIN: f64 = 0.03;
+/// Ranks with the least load that are tried as receivers of an expert.
+const TRIED_RECEIVERS: usize = 8;
 
 /// Bounds of a small change.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -19,21 +36,35 @@
     pub loads_per_layer: usize,
 }
 
-/// Replica that is added, with the one that makes room for it.
+/// Step of the search: the hottest rank shares an expert with another one, or gives it away.
 #[derive(Clone, Copy, Debug)]
-struct AddedReplica {
+struct ReliefStep {
     expert: usize,
+    from: usize,
     to: usize,
+    /// Whether `from` gives the expert away instead of sharing it.
+    is_move: bool,
+    /// Expert that `to` gives up for it.
     dropped: Option<usize>,
-    hottest_load: f64,
+    /// Whether `from` takes the dropped expert, which no other rank holds.
+    is_swap: bool,
+}
+
+impl ReliefStep {
+    const fn loads(&self) -> usize {
+        if self.is_swap { 2 } else { 1 }
+    }
 }
 
-/// Layer while replicas are added.
+/// Layer during the search.
 struct LayerDraft<'a> {
     tokens: &'a [f64],
     holders: Vec<Vec<RankNumber>>,
+    held: Vec<Vec<usize>>,
     loads: Vec<f64>,
-    held: Vec<usize>,
+    mean: f64,
+    /// Loads that a step changes, by rank; kept to save allocations.
+    changed: Vec<(usize, f64)>,
 }
 
 impl<'a> LayerDraft<'a> {
@@ -41,85 +72,234 @@
         let holders = map.layer(layer);
         let mut loads = vec![0.0; ranks];
         layer_loads(map, counts, layer, &mut loads);
-        let mut held = vec![0; ranks];
-        for rank in holders.iter().flatten() {
-            held[usize::from(*rank)] += 1;
+        let mut held = vec![Vec::new(); ranks];
+        for (expert, ranks) in holders.iter().enumerate() {
+            for rank in ranks {
+                held[usize::from(*rank)].push(expert);
+            }
         }
+        let mean = loads.iter().sum::<f64>() / ranks.max(1) as f64;
         Self {
             tokens: counts.layer(layer),
             holders,
-            loads,
             held,
+            loads,
+            mean,
+            changed: Vec::new(),
         }
     }
 
-    fn hottest(&self) -> (usize, f64) {
-        let loads = self.loads.iter().copied().enumerate();
-        loads.fold((0, f64::MIN), |best, (rank, load)| {
-            if load > best.1 { (rank, load) } else { best }
-        })
+    fn hottest(&self) -> usize {
+        let loads = self.loads.iter().enumerate();
+        let hottest = loads.max_by(|(_, left), (_, right)| left.total_cmp(right));
+        hottest.map_or(0, |(rank, _)| rank)
+    }
+
+    /// Returns how much the hottest rank exceeds the mean, as a share of it.
+    fn excess(&self) -> f64 {
+        if self.mean <= 0.0 {
+            return 0.0;
+        }
+        self.loads[self.hottest()] / self.mean - 1.0
     }
 
     fn holds(&self, rank: usize, expert: usize) -> bool {
-        self.holders[expert]
-            .iter()
-            .any(|holder| usize::from(*holder) == rank)
+        self.held[rank].contains(&expert)
     }
 
     fn share(&self, expert: usize) -> f64 {
         self.tokens[expert] / self.holders[expert].len() as f64
     }
 
-    /// Returns the expert of a rank that is cheapest to drop: one that other ranks hold too.
-    fn droppable(&self, rank: usize) -> Option<usize> {
-        let held = (0..self.holders.len()).filter(|expert| self.holds(rank, *expert));
-        let spare = held.filter(|expert| self.holders[*expert].len() > 1);
-        spare.min_by(|left, right| self.share(*left).total_cmp(&self.share(*right)))
+    /// Returns the part of a load in the objective.
+    fn cost(&self, load: f64) -> f64 {
+        (load / self.mean).powi(8)
+    }
+
+    fn change(&mut self, rank: usize, difference: f64) {
+        match self.changed.iter_mut().find(|(known, _)| *known == rank) {
+            Some((_, sum)) => *sum += difference,
+            None => self.changed.push((rank, difference)),
+        }
     }
 
-    /// Tries a replica of `expert` on the rank `to`; returns the load of the hottest rank after it.
-    fn hottest_after(&self, expert: usize, to: usize, dropped: Option<usize>) -> f64 {
-        let mut loads = self.loads.clone();
-        if let Some(dropped) = dropped {
-            let before = self.share(dropped);
-            let after = self.tokens[dropped] / (self.holders[dropped].len() - 1) as f64;
-            for holder in &self.holders[dropped] {
-                loads[usize::from(*holder)] += after - before;
+    /// Gathers the loads that a step changes.
+    fn gather_changes(&mut self, step: &ReliefStep) {
+        self.changed.clear();
+        let share = self.share(step.expert);
+        if step.is_move {
+            self.change(step.from, -share);
+            self.change(step.to, share);
+        } else {
+            let shared = self.tokens[step.expert] / (self.holders[step.expert].len() + 1) as f64;
+            for index in 0..self.holders[step.expert].len() {
+                let holder = usize::from(self.holders[step.expert][index]);
+                self.change(holder, shared - share);
             }
-            loads[to] -= after;
+            self.change(step.to, shared);
+        }
+        let Some(dropped) = step.dropped else {
+            return;
+        };
+        let share = self.share(dropped);
+        self.change(step.to, -share);
+        if step.is_swap {
+            self.change(step.from, share);
+            return;
         }
-        let before = self.share(expert);
-        let after = self.tokens[expert] / (self.holders[expert].len() + 1) as f64;
-        for holder in &self.holders[expert] {
-            loads[usize::from(*holder)] += after - before;
+        let left = self.tokens[dropped] / (self.holders[dropped].len() - 1) as f64;
+        for index in 0..self.holders[dropped].len() {
+            let holder = usize::from(self.holders[dropped][index]);
+            if holder != step.to {
+                self.change(holder, left - share);
+            }
         }
-        loads[to] += after;
-        loads.into_iter().fold(0.0, f64::max)
     }
 
-    fn apply(&mut self, added: &AddedReplica) {
-        if let Some(dropped) = added.dropped {
-            let before = self.share(dropped);
-            self.holders[dropped].retain(|holder| usize::from(*holder) != added.to);
-            let after = self.share(dropped);
-            for holder in &self.holders[dropped] {
-                self.loads[usize::from(*holder)] += after - before;
+    /// Returns by how much a step lowers the objective.
+    fn gain(&mut self, step: &ReliefStep) -> f64 {
+        self.gather_changes(step);
+        let changed = self.changed.iter();
+        let gains = changed.map(|(rank, difference)| {
+            let load = self.loads[*rank];
+            self.cost(load) - self.cost(load + difference)
+        });
+        gains.sum()
+    }
+
+    fn apply(&mut self, step: &ReliefStep) {
+        self.gather_changes(step);
+        for (rank, difference) in &self.changed {
+            self.loads[*rank] += difference;
+        }
+        if step.is_move {
+            self.remove(step.from, step.expert);
+        }
+        if let Some(dropped) = step.dropped {
+            self.remove(step.to, dropped);
+            if step.is_swap {
+                self.add(step.from, dropped);
             }
-            self.loads[added.to] -= before;
-            self.held[added.to] -= 1;
         }
-        let before = self.share(added.expert);
-        let after = self.tokens[added.expert] / (self.holders[added.expert].len() + 1) as f64;
-        for holder in &self.holders[added.expert] {
-            self.loads[usize::from(*holder)] += after - before;
+        self.add(step.to, step.expert);
+    }
+
+    fn add(&mut self, rank: usize, expert: usize) {
+        self.holders[expert].push(rank as RankNumber);
+        self.held[rank].push(expert);
+    }
+
+    fn remove(&mut self, rank: usize, expert: usize) {
+        self.holders[expert].retain(|holder| usize::from(*holder) != rank);
+        self.held[rank].retain(|held| *held != expert);
+    }
+
+    /// Returns the ranks with the least load that may load an expert.
+    fn receivers(&self, ledger: &LoadLedger, layer: usize, expert: usize) -> Vec<usize> {
+        let ranks = 0..self.loads.len();
+        let allowed =
+            ranks.filter(|rank| ledger.allows(*rank, layer, expert) && !self.holds(*rank, expert));
+        let mut receivers: Vec<_> = allowed.collect();
+        receivers.sort_by(|left, right| self.loads[*left].total_cmp(&self.loads[*right]));
+        receivers.truncate(TRIED_RECEIVERS);
+        receivers
+    }
+
+    /// Finds the step that relieves the hottest rank best for the experts that it loads.
+    fn best_step(&mut self, ledger: &LoadLedger, layer: usize, slots: usize) -> Option<ReliefStep> {
+        let from = self.hottest();
+        let mut best = None;
+        let mut best_gain = LEAST_GAIN * self.cost(self.loads[from]);
+        for expert in self.held[from].clone() {
+            for to in self.receivers(ledger, layer, expert) {
+                for step in self.steps(ledger, layer, slots, (expert, from, to)) {
+                    let gain = self.gain(&step) / step.loads() as f64;
+                    if gain > best_gain {
+                        best_gain = gain;
+                        best = Some(step);
+                    }
+                }
+            }
+        }
+        best
+    }
+
+    /// Returns the ways in which the rank `from` can share an expert with `to` or give it away.
+    fn steps(
+        &self,
+        ledger: &LoadLedger,
+        layer: usize,
+        slots: usize,
+        (expert, from, to): (usize, usize, usize),
+    ) -> Vec<ReliefStep> {
+        let shared = ReliefStep {
+            expert,
+            from,
+            to,
+            is_move: false,
+            dropped: None,
+            is_swap: false,
+        };
+        let moved = ReliefStep {
+            is_move: true,
+            ..shared
+        };
+        if self.held[to].len() < slots {
+            return vec![shared, moved];
+        }
+        let mut steps = Vec::new();
+        for dropped in &self.held[to] {
+            let dropped_at = Some(*dropped);
+            if self.holders[*dropped].len() > 1 {
+                for step in [shared, moved] {
+                    steps.push(ReliefStep {
+                        dropped: dropped_at,
+                        ..step
+                    });
+                }
+            } else if ledger.allows(from, layer, *dropped) {
+                steps.push(ReliefStep {
+                    dropped: dropped_at,
+                    is_swap: true,
+                    ..moved
+                });
+            }
+        }
+        steps
+    }
+}
+
+/// Experts that ranks have to load, by rank.
+struct LoadLedger {
+    loads: Vec<BTreeSet<(usize, usize)>>,
+    bounds: ChangeBounds,
+}
+
+impl LoadLedger {
+    fn new(ranks: usize, bounds: ChangeBounds) -> Self {
+        Self {
+            loads: vec![BTreeSet::new(); ranks],
+            bounds,
+        }
+    }
+
+    /// Returns whether a rank may load an expert. One that it drops and takes back is loaded once.
+    fn allows(&self, rank: usize, layer: usize, expert: usize) -> bool {
+        let loads = &self.loads[rank];
+        let of_layer = loads.range((layer, 0)..(layer + 1, 0)).count();
+        loads.contains(&(layer, expert))
+            || (loads.len() < self.bounds.loads_per_rank && of_layer < self.bounds.loads_per_layer)
+    }
+
+    fn record(&mut self, layer: usize, step: &ReliefStep) {
+        self.loads[step.to].insert((layer, step.expert));
+        if let Some(dropped) = step.dropped.filter(|_| step.is_swap) {
+            self.loads[step.from].insert((layer, dropped));
         }
-        self.loads[added.to] += after;
-        self.holders[added.expert].push(added.to as RankNumber);
-        self.held[added.to] += 1;
     }
 }
 
-/// Plans a small change of the map; `None` if no replica helps.
+/// Plans a small change of the map; `None` if no step helps.
 ///
 /// # Errors
 ///
@@ -133,88 +313,33 @@
     let mut drafts: Vec<_> = (0..map.layers())
         .map(|layer| LayerDraft::new(map, counts, layer, shape.ranks))
         .collect();
-    let mut loaded = LoadedExperts::new(shape, drafts.len());
-    let mut open: Vec<usize> = (0..drafts.len()).collect();
-    // Layers take turns, so that none uses up the loads of all ranks.
-    while !open.is_empty() {
-        open.retain(|layer| {
-            let draft = &mut drafts[*layer];
-            let Some(added) = best_replica(shape, draft, &loaded, *layer, bounds) else {
-                return false;
-            };
-            draft.apply(&added);
-            loaded.add(added.to, *layer);
-            true
-        });
+    let mut ledger = LoadLedger::new(shape.ranks, *bounds);
+    let mut excesses: Vec<_> = drafts.iter().map(LayerDraft::excess).collect();
+    let mut steps = 0;
+    // The layer with the largest excess goes first, so that the loads of a rank go where they
+    // shorten the pass most.
+    while let Some(layer) = worst_layer(&excesses) {
+        let draft = &mut drafts[layer];
+        let Some(step) = draft.best_step(&ledger, layer, shape.slots) else {
+            excesses[layer] = 0.0;
+            continue;
+        };
+        draft.apply(&step);
+        ledger.record(layer, &step);
+        excesses[layer] = draft.excess();
+        steps += 1;
     }
-    if loaded.total == 0 {
+    if steps == 0 {
         return Ok(None);
     }
     let layers: Vec<_> = drafts.into_iter().map(|draft| draft.holders).collect();
     ExpertMap::from_layers(map.version(), &layers).map(Some)
 }
 
-/// Experts that ranks have to load, by rank and layer.
-struct LoadedExperts {
-    by_rank: Vec<usize>,
-    by_layer: Vec<Vec<usize>>,
-    total: usize,
-}
-
-impl LoadedExperts {
-    fn new(shape: &GroupShape, layers: usize) -> Self {
-        Self {
-            by_rank: vec![0; shape.ranks],
-            by_layer: vec![vec![0; shape.ranks]; layers],
-            total: 0,
-        }
-    }
-
-    fn allows(&self, rank: usize, layer: usize, bounds: &ChangeBounds) -> bool {
-        self.by_rank[rank] < bounds.loads_per_rank
-            && self.by_layer[layer][rank] < bounds.loads_per_layer
-    }
-
-    fn add(&mut self, rank: usize, layer: usize) {
-        self.by_rank[rank] += 1;
-        self.by_layer[layer][rank] += 1;
-        self.total += 1;
-    }
-}
-
-/// Finds the replica that takes most load from the hottest rank of a layer.
-fn best_replica(
-    shape: &GroupShape,
-    draft: &LayerDraft<'_>,
-    loaded: &LoadedExperts,
-    layer: usize,
-    bounds: &ChangeBounds,
-) -> Option<AddedReplica> {
-    let (hot, load) = draft.hottest();
-    let mean = draft.loads.iter().sum::<f64>() / shape.ranks as f64;
-    let on_hot = (0..draft.holders.len()).filter(|expert| draft.holds(hot, *expert));
-    let expert = on_hot.max_by(|left, right| draft.share(*left).total_cmp(&draft.share(*right)))?;
-    let receivers = (0..shape.ranks)
-        .filter(|rank| !draft.holds(*rank, expert) && loaded.allows(*rank, layer, bounds));
-    let options = receivers.filter_map(|to| {
-        let dropped = if draft.held[to] < shape.slots {
-            None
-        } else {
-            Some(draft.droppable(to)?)
-        };
-        let hottest_load = draft.hottest_after(expert, to, dropped);
-        Some(AddedReplica {
-            expert,
-            to,
-            dropped,
-            hottest_load,
-        })
-    });
-    // Of equally good ranks the coldest one keeps room for the next replicas.
-    let best = options.min_by(|left, right| {
-        let hottest = left.hottest_load.total_cmp(&right.hottest_load);
-        let coldest = draft.loads[left.to].total_cmp(&draft.loads[right.to]);
-        hottest.then(coldest)
-    })?;
-    (load - best.hottest_load > LEAST_GAIN * mean).then_some(best)
+/// Returns the layer with the largest excess, if it is worth a step.
+fn worst_layer(excesses: &[f64]) -> Option<usize> {
+    let layers = excesses.iter().enumerate();
+    let worst = layers.max_by(|(_, left), (_, right)| left.total_cmp(right));
+    let (layer, excess) = worst?;
+    (*excess > TOLERATED_EXCESS).then_some(layer)
 }
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -8,9 +8,10 @@
     hyper::{Request, StatusCode},
     sassafrasslip_core::{
         dispatch::{
-            OrderOutcome, RankControl, RankOrder, RankStatus, TargetId, map_switch::RankIndex,
+            OrderOutcome, RankControl, RankOrder, RankStatus, TargetId, channel_plan::idle_limit,
+            map_switch::RankIndex,
         },
-        events::LogEvent::OrderGiven,
+        events::LogEvent::OrderMissed,
         ids::GroupName,
         log_event,
         placement::{ExpertMap, ExpertNumber, RankNumber},
@@ -28,13 +29,19 @@
         net::SocketAddr,
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout},
 };
 
-/// Time for an answer of an engine. It answers in some milliseconds; an order that is not answered
-/// by then is given again. A held group waits for the slowest of its orders.
+/// Time for an answer of an engine, besides that for sending the call. It answers in some
+/// milliseconds; an order that is not answered by then is given again. A held group waits for the
+/// slowest of its orders.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(35);
 
+/// Rates at which a map is taken to leave this gateway and to reach an engine, in bytes a second.
+/// Maps of large groups fill the link of a gateway for longer than an engine takes to answer.
+const GATEWAY_RATE: f64 = 10e6;
+const ENGINE_RATE: f64 = 700e3;
+
 /// Largest answer of an engine, in bytes: the counts of some thousand experts.
 const MOST_ANSWER_BYTES: usize = 1024 * 1024;
 
@@ -45,7 +52,24 @@
     pub target: TargetId,
     /// Address.
     pub address: SocketAddr,
-    channel: RefCell<Option<TargetChannel>>,
+    channel: RefCell<Option<KeptChannel>>,
+}
+
+#[derive(Debug)]
+struct KeptChannel {
+    channel: TargetChannel,
+    since: Instant,
+}
+
+/// Orders that were given since the last look.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OrderTally {
+    /// All orders.
+    pub given: u32,
+    /// Orders that did not fit the state of the rank.
+    pub refused: u32,
+    /// Orders without an answer.
+    pub unanswered: u32,
 }
 
 /// Engines of a group in one formation, in the order of their ranks.
@@ -56,7 +80,7 @@
     /// Number of the formation.
     pub epoch: u64,
     seats: Vec<EngineSeat>,
-    unanswered: Cell<u32>,
+    tally: Cell<OrderTally>,
 }
 
 impl GroupEngines {
@@ -71,13 +95,31 @@
             group,
             epoch,
             seats: seats.collect(),
-            unanswered: Cell::new(0),
+            tally: Cell::default(),
         }
     }
 
-    /// Returns the orders that were not answered.
-    pub fn unanswered(&self) -> u32 {
-        self.unanswered.get()
+    /// Returns whether these are the engines of a formation at the given targets.
+    pub fn is_at<'a>(
+        &self,
+        epoch: u64,
+        seats: impl ExactSizeIterator<Item = (&'a TargetId, SocketAddr)>,
+    ) -> bool {
+        let known = self.seats.iter();
+        let is_same = |(known, (target, address)): (&EngineSeat, (&TargetId, SocketAddr))| {
+            known.target == *target && known.address == address
+        };
+        self.epoch == epoch && known.len() == seats.len() && known.zip(seats).all(is_same)
+    }
+
+    /// Returns the orders since the tally was last taken.
+    pub fn tally(&self) -> OrderTally {
+        self.tally.get()
+    }
+
+    /// Takes the tally of orders.
+    pub fn take_tally(&self) -> OrderTally {
+        self.tally.take()
     }
 
     /// Reads the report of a rank; `None` if it does not answer or is in another formation.
@@ -126,24 +168,41 @@
         body: Bytes,
     ) -> Option<(StatusCode, Bytes)> {
         let seat = self.seats.get(rank)?;
+        let limit = answer_limit(body.len(), self.seats.len());
         let exchange = async {
-            let kept = seat.channel.borrow_mut().take();
-            let mut channel = match kept {
-                Some(channel) if channel.is_open() => channel,
-                _ => TargetChannel::open(seat.address).await.ok()?,
+            let mut channel = match seat.take_channel() {
+                Some(channel) => channel,
+                None => TargetChannel::open(seat.address).await.ok()?,
             };
             let request = request(seat, method, path, body)?;
             let response = channel.exchange(request).await.ok()?;
             let status = response.status();
             let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES);
             let body = body.collect().await.ok()?.to_bytes();
-            *seat.channel.borrow_mut() = Some(channel);
+            let since = Instant::now();
+            *seat.channel.borrow_mut() = Some(KeptChannel { channel, since });
             Some((status, body))
         };
-        timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten()
+        timeout(limit, exchange).await.ok().flatten()
     }
 }
 
+impl EngineSeat {
+    /// Takes the kept channel, unless it has been idle for so long that the engine may close it.
+    fn take_channel(&self) -> Option<TargetChannel> {
+        let kept = self.channel.borrow_mut().take()?;
+        let is_fresh = kept.since.elapsed() < idle_limit(None);
+        (is_fresh && kept.channel.is_open()).then_some(kept.channel)
+    }
+}
+
+/// Returns the time for a call with a body of `bytes` that goes to `ranks` engines at once.
+fn answer_limit(bytes: usize, ranks: usize) -> Duration {
+    let bytes = bytes as f64;
+    let sending = bytes * ranks as f64 / GATEWAY_RATE + bytes / ENGINE_RATE;
+    ANSWER_TIMEOUT + Duration::from_secs_f64(sending)
+}
+
 fn request(
     seat: &EngineSeat,
     method: Method,
@@ -178,17 +237,25 @@
                 OrderOutcome::Refused
             }
         };
-        if outcome == OrderOutcome::Unanswered {
-            self.unanswered.set(self.unanswered.get() + 1);
+        let mut tally = self.tally.get();
+        tally.given += 1;
+        match outcome {
+            OrderOutcome::Accepted => {}
+            OrderOutcome::Refused => tally.refused += 1,
+            OrderOutcome::Unanswered => tally.unanswered += 1,
+        }
+        self.tally.set(tally);
+        // A change gives hundreds of orders; those that are carried out are counted in its line.
+        if outcome != OrderOutcome::Accepted {
+            log_event!(
+                OrderMissed,
+                group = self.group,
+                epoch = self.epoch,
+                rank = rank,
+                order = name(&order),
+                outcome = format_args!("{outcome:?}")
+            );
         }
-        log_event!(
-            OrderGiven,
-            group = self.group,
-            epoch = self.epoch,
-            rank = rank,
-            order = name(&order),
-            outcome = format_args!("{outcome:?}")
-        );
         outcome
     }
 }
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -16,7 +16,7 @@
     sassafrasslip_core::{
         dispatch::{
             DirectTarget, EngineProfile, ExpertProfile, GroupSeat, PassPace, RankStatus,
-            SwitchResult,
+            SwitchResult, TargetId,
             demand_window::DemandWindow,
             map_plan::{PlanFigures, pass_is_slow, plan_change},
             map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS, version_after},
@@ -30,7 +30,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
-        net::Ipv4Addr,
+        net::{Ipv4Addr, SocketAddr},
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -74,6 +74,8 @@
 struct Placer {
     groups: RefCell<HashMap<GroupName, PlacedGroup>>,
     busy: RefCell<HashMap<GroupName, Rc<Cell<bool>>>>,
+    /// Engines of the groups, with the channels that are kept to them.
+    engines: RefCell<HashMap<GroupName, Rc<GroupEngines>>>,
     /// Formations that this placer has looked at, to find those that were left held, and when it
     /// first did.
     seen: RefCell<HashMap<GroupName, (u64, Instant)>>,
@@ -85,7 +87,7 @@
     name: GroupName,
     service: ServiceName,
     epoch: u64,
-    engines: GroupEngines,
+    engines: Rc<GroupEngines>,
     in_flight: u32,
     progress_at: Option<Instant>,
     has_own_requests: bool,
@@ -103,7 +105,7 @@
         let Some(table) = state.table() else {
             continue;
         };
-        for situation in situations(&state) {
+        for situation in situations(&state, &placer) {
             let rule = table.service(&situation.service);
             let Some(engine) = rule.and_then(|rule| rule.engine) else {
                 continue;
@@ -159,6 +161,26 @@
         true
     }
 
+    /// Returns the engines of a group at the given targets, with the channels that are kept to
+    /// them.
+    fn engines<'a>(
+        &self,
+        name: &GroupName,
+        epoch: u64,
+        seats: impl Clone + ExactSizeIterator<Item = (&'a TargetId, SocketAddr)>,
+    ) -> Rc<GroupEngines> {
+        let mut known = self.engines.borrow_mut();
+        if let Some(engines) = known.get(name)
+            && engines.is_at(epoch, seats.clone())
+        {
+            return Rc::clone(engines);
+        }
+        let seats = seats.map(|(target, address)| (TargetId::clone(target), address));
+        let engines = Rc::new(GroupEngines::new(name.clone(), epoch, seats.collect()));
+        known.insert(name.clone(), Rc::clone(&engines));
+        engines
+    }
+
     /// Forgets a group that another gateway places now.
     fn leave(&self, name: &GroupName) {
         self.seen.borrow_mut().remove(name);
@@ -175,7 +197,7 @@
 
 /// Gathers the figures of the groups that run and of which every rank is known, in one pass over
 /// the targets. A rank that drains takes part in each pass until it leaves.
-fn situations(state: &GatewayState) -> Vec<GroupSituation> {
+fn situations(state: &GatewayState, placer: &Placer) -> Vec<GroupSituation> {
     let roster = state.roster.borrow();
     let mut ranks: BTreeMap<&GroupName, Vec<(&GroupSeat, &DirectTarget)>> = BTreeMap::new();
     for (_, target) in roster.iter() {
@@ -186,7 +208,7 @@
     let views = roster.groups();
     let situations = ranks.into_iter().filter_map(|(name, ranks)| {
         let view = views.get(name).filter(|view| view.is_open)?;
-        GroupSituation::gather(name, view.epoch, ranks)
+        GroupSituation::gather(placer, name, view.epoch, ranks)
     });
     situations.collect()
 }
@@ -194,6 +216,7 @@
 impl GroupSituation {
     /// Gathers the figures of a group; `None` unless every rank is known.
     fn gather(
+        placer: &Placer,
         name: &GroupName,
         epoch: u64,
         mut ranks: Vec<(&GroupSeat, &DirectTarget)>,
@@ -208,12 +231,12 @@
             return None;
         }
         let targets = || ranks.iter().map(|(_, target)| target);
-        let seats = targets().map(|target| (target.entry.id.clone(), target.entry.address));
+        let seats = targets().map(|target| (&target.entry.id, target.entry.address));
         Some(Self {
             name: name.clone(),
             service: target.entry.service.clone(),
             epoch,
-            engines: GroupEngines::new(name.clone(), epoch, seats.collect()),
+            engines: placer.engines(name, epoch, seats),
             in_flight,
             progress_at: targets().filter_map(|target| target.progress_at).max(),
             has_own_requests: targets().any(|target| target.own_in_flight > 0),
@@ -286,13 +309,14 @@
     experts: &ExpertProfile,
     situation: &GroupSituation,
 ) -> Option<()> {
-    let engines = &situation.engines;
+    let engines = &*situation.engines;
     let started_at = Instant::now();
     let map = current_map(placer, experts, situation).await?;
     let counts = sample(placer, situation, experts).await?;
     let (planned, figures) = plan_change(experts, engines.ranks(), &map, &counts)?;
     log_plan(situation, &figures, started_at);
     let planned = planned?;
+    engines.take_tally();
     let version = next_version(placer, &situation.name)?;
     let fallback_version = next_version(placer, &situation.name)?;
     let planned = planned.with_version(version);
@@ -303,7 +327,7 @@
         let pace = PassPace {
             report_age: engine.report_age,
             pause: state.mean_pause(&situation.name)?,
-            is_lossy: engines.unanswered() > 0,
+            is_lossy: engines.tally().unanswered > 0,
         };
         pass_to_hold(&statuses, known_version, &pace)
     };
@@ -315,12 +339,17 @@
         next_pass,
     )
     .await;
+    let tally = engines.take_tally();
     log_event!(
         MapSwitched,
         group = situation.name,
         epoch = situation.epoch,
         version = version,
         result = format_args!("{result:?}"),
+        orders = tally.given,
+        refused = tally.refused,
+        unanswered = tally.unanswered,
+        loading_ms = loading.as_millis(),
         took_ms = started_at.elapsed().as_millis()
     );
     let mut groups = placer.groups.borrow_mut();
--- a/crates/daemon/src/gateway/placer/recovery.rs
+++ b/crates/daemon/src/gateway/placer/recovery.rs
@@ -49,7 +49,7 @@
     situation: &GroupSituation,
     experts: &ExpertProfile,
 ) {
-    let engines = &situation.engines;
+    let engines = &*situation.engines;
     if !is_left_held(engines).await {
         return;
     }
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -6,6 +6,7 @@
 
 use {
     super::{peers, state::GatewayState},
+    crate::options::GatewayOptions,
     error_stack::Report,
     sassafrasslip_core::{
         events::LogEvent::{
@@ -25,24 +26,48 @@
 /// know while nothing changes.
 const CHANGE_WAIT: Duration = Duration::from_millis(800);
 
-/// Age of the reader's knowledge from which on a gateway reads the store itself. With the interval
-/// at which the reader is asked, a change is in force, and a target that leaves gets no more work,
-/// 1.6 s after the store has told it last; both have to happen within 2 s.
+/// Age of the reader's knowledge from which on a gateway reads the store itself, at most.
 const READER_AGE_LIMIT: Duration = Duration::from_millis(1000);
 
 /// Interval at which it is checked whether the reader's knowledge is still new enough.
 const READER_CHECK: Duration = Duration::from_millis(100);
 
-/// Interval at which the instance list is read. A target that leaves must get no new work 2 s
-/// after the store knows; two reads may fail before that.
+/// Interval at which the instance list is read, at most.
 const LIST_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Parts of the time within which a change has to be in force. An interval of reading and the age
+/// at which the reader is given up add up to 0.8 of it, which leaves room for the calls.
+const WAIT_SHARE: f64 = 0.4;
+const AGE_SHARE: f64 = 0.5;
+const LIST_SHARE: f64 = 0.3;
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Pause after an answer that is older than an earlier one.
 const STALE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Intervals of reading, short enough for the bounds of the settings.
+#[derive(Clone, Copy, Debug)]
+struct RefreshPace {
+    change_wait: Duration,
+    configuration_age: Duration,
+    list_interval: Duration,
+    list_age: Duration,
+}
+
+impl RefreshPace {
+    fn new(options: &GatewayOptions) -> Self {
+        let (configuration, drain) = (options.configuration_limit, options.drain_limit);
+        Self {
+            change_wait: CHANGE_WAIT.min(configuration.mul_f64(WAIT_SHARE)),
+            configuration_age: READER_AGE_LIMIT.min(configuration.mul_f64(AGE_SHARE)),
+            list_interval: LIST_INTERVAL.min(drain.mul_f64(LIST_SHARE)),
+            list_age: READER_AGE_LIMIT.min(drain.mul_f64(AGE_SHARE)),
+        }
+    }
+}
+
 /// Whether a dependency answers; logs when that changes.
 #[derive(Debug)]
 struct Dependency {
@@ -82,14 +107,15 @@
     let mut dependency = Dependency::new("configuration");
     let mut version: Option<StoreVersion> = None;
     let mut newest = 0;
+    let pace = RefreshPace::new(&state.options);
     loop {
         let now = Instant::now();
         let has_reader = peers::zone_reader(&state, now).is_some();
-        if has_reader && state.configuration_age(now) < READER_AGE_LIMIT {
+        if has_reader && state.configuration_age(now) < pace.configuration_age {
             sleep(READER_CHECK).await;
             continue;
         }
-        let step = follow_step(&state, &store, version, &mut newest).await;
+        let step = follow_step(&state, &store, &pace, version, &mut newest).await;
         let now = Instant::now();
         match step {
             Ok(next) => {
@@ -113,6 +139,7 @@
 async fn follow_step(
     state: &GatewayState,
     store: &StoreClient,
+    pace: &RefreshPace,
     version: Option<StoreVersion>,
     newest: &mut StoreVersion,
 ) -> Result<Option<StoreVersion>, Report<StoreError>> {
@@ -127,7 +154,7 @@
         *newest = version;
         return Ok(Some(version));
     };
-    match store.await_configuration(version, CHANGE_WAIT).await? {
+    match store.await_configuration(version, pace.change_wait).await? {
         ConfigurationNews::Changed { document, version } => {
             apply_document(state, &document);
             *newest = version.max(*newest);
@@ -159,10 +186,11 @@
     let mut dependency = Dependency::new("targets");
     let mut newest = 0;
     let mut unreadable = HashMap::new();
+    let pace = RefreshPace::new(&state.options);
     loop {
         let asked_at = Instant::now();
-        if ask_reader(&state, asked_at).await {
-            sleep(LIST_INTERVAL.saturating_sub(asked_at.elapsed())).await;
+        if ask_reader(&state, &pace, asked_at).await {
+            sleep(pace.list_interval.saturating_sub(asked_at.elapsed())).await;
             continue;
         }
         match store.read_targets().await {
@@ -180,7 +208,7 @@
                     newest = listing.version;
                     state.apply_listing(listing.targets, asked_at, "store");
                 }
-                sleep(LIST_INTERVAL.saturating_sub(asked_at.elapsed())).await;
+                sleep(pace.list_interval.saturating_sub(asked_at.elapsed())).await;
             }
             Err(report) => {
                 state.metrics.store_failures.inc();
@@ -192,12 +220,12 @@
 }
 
 /// Asks the gateway that reads the store for this zone; returns whether it knows enough.
-async fn ask_reader(state: &GatewayState, now: Instant) -> bool {
+async fn ask_reader(state: &GatewayState, pace: &RefreshPace, now: Instant) -> bool {
     let Some(reader) = peers::zone_reader(state, now) else {
         return false;
     };
     match peers::ask(state, reader).await {
-        Ok(()) => state.list_age(Instant::now()) < READER_AGE_LIMIT,
+        Ok(()) => state.list_age(Instant::now()) < pace.list_age,
         Err(report) => {
             log::debug!("{}", crate::describe(&report));
             false
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -354,7 +354,7 @@
     ) -> &'a mut RetryAllowance {
         let options = &self.options;
         allowances.entry(service.clone()).or_insert_with(|| {
-            let fixed = f64::from(options.retry_allowance);
+            let fixed = options.retry_allowance;
             RetryAllowance::new(options.retry_window, options.retry_ratio, fixed)
         })
     }
--- a/crates/daemon/src/options/source.rs
+++ b/crates/daemon/src/options/source.rs
@@ -74,7 +74,7 @@
             .build()
             .and_then(Config::try_deserialize)
             .map_err(|error| source.file_error(format!("not a valid INI file: {error}")))?;
-        Ok(Self { sections, ..source })
+        Ok(Self { sections, ..source }.drop_empty())
     }
 
     /// Refuses what the configuration library would merge without a word: keys outside of
@@ -120,6 +120,19 @@
         Err(self.error(section, None, None, "the section is missing".to_owned()))
     }
 
+    /// Leaves out keys without a value, or with a bare unit. A template renders an absent figure as
+    /// nothing; the default applies then, and a mandatory key is reported as missing.
+    fn drop_empty(mut self) -> Self {
+        let is_empty = |value: &Value| match &value.kind {
+            ValueKind::String(text) => matches!(text.trim(), "" | "ms" | "s"),
+            _ => false,
+        };
+        for entries in self.sections.values_mut() {
+            entries.retain(|_, value| !is_empty(value));
+        }
+        self
+    }
+
     /// Replaces a value by that of an argument, if one was given.
     pub fn set<T: ToString>(&mut self, section: &str, key: &str, value: Option<&T>) {
         if let Some(value) = value {
--- a/crates/daemon/src/options/units.rs
+++ b/crates/daemon/src/options/units.rs
@@ -6,6 +6,10 @@
     std::{net::SocketAddr, result, time::Duration},
 };
 
+/// Longest duration that a setting can have; longer ones count as this. It is added to times of
+/// the clock, which must not overflow.
+pub const LONGEST_DURATION: Duration = Duration::from_secs(10 * 365 * 24 * 3600);
+
 /// Address written as `IP:PORT`.
 #[derive(Debug)]
 pub struct AddressText;
@@ -18,7 +22,11 @@
 #[derive(Debug)]
 pub struct RatioText;
 
-/// Duration written as `250 ms` or `2 s`; the unit is mandatory.
+/// Number from 0, which may have a fraction.
+#[derive(Debug)]
+pub struct AmountText;
+
+/// Duration written as `250 ms` or `2.5 s`; the unit is mandatory.
 #[derive(Debug)]
 pub struct DurationText;
 
@@ -26,11 +34,11 @@
 #[derive(Debug)]
 pub struct PositiveDurationText;
 
-/// Whole number from 0.
+/// Whole number from 0; `3.0` is one too.
 #[derive(Debug)]
 pub struct NumberText;
 
-/// Whole number from 1.
+/// Whole number from 1; `3.0` is one too.
 #[derive(Debug)]
 pub struct CountText;
 
@@ -69,16 +77,24 @@
     }
 }
 
+impl<'de> DeserializeAs<'de, f64> for AmountText {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<f64, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let amount = parse_amount(&text);
+        amount.ok_or_else(|| de::Error::custom("expected a number from 0"))
+    }
+}
+
 impl<'de> DeserializeAs<'de, Duration> for DurationText {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<Duration, D::Error> {
-        read_duration(deserializer, Duration::ZERO, "a whole number with ms or s")
+        read_duration(deserializer, Duration::ZERO, "a number with ms or s")
     }
 }
 
 impl<'de> DeserializeAs<'de, Duration> for PositiveDurationText {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<Duration, D::Error> {
         let least = Duration::from_millis(1);
-        read_duration(deserializer, least, "a whole number above 0 with ms or s")
+        read_duration(deserializer, least, "a number above 0 with ms or s")
     }
 }
 
@@ -127,11 +143,21 @@
 
 fn parse_duration(text: &str) -> Option<Duration> {
     let text = text.trim();
-    if let Some(number) = text.strip_suffix("ms") {
-        return number.trim().parse().ok().map(Duration::from_millis);
-    }
-    let number = text.strip_suffix('s')?.trim();
-    number.parse().ok().map(Duration::from_secs)
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 0.001),
+        None => (text.strip_suffix('s')?, 1.0),
+    };
+    let seconds = parse_amount(number)? * unit;
+    let longest = LONGEST_DURATION.as_secs_f64();
+    // Whole microseconds hide the rounding of decimal fractions.
+    let micros = (seconds.min(longest) * 1e6).round();
+    Some(Duration::from_micros(micros as u64))
+}
+
+/// Reads a finite number from 0.
+fn parse_amount(text: &str) -> Option<f64> {
+    let amount: f64 = text.trim().parse().ok()?;
+    (amount.is_finite() && amount >= 0.0).then_some(amount)
 }
 
 fn read_number<'de, D: Deserializer<'de>>(
@@ -139,8 +165,10 @@
     least: u32,
 ) -> result::Result<u32, D::Error> {
     let text = String::deserialize(deserializer)?;
-    let number = text.trim().parse().ok().filter(|number| *number >= least);
-    number.ok_or_else(|| {
+    let number = parse_amount(&text).filter(|number| {
+        number.fract() == 0.0 && (f64::from(least)..=f64::from(u32::MAX)).contains(number)
+    });
+    number.map(|number| number as u32).ok_or_else(|| {
         let fault = format!("expected a whole number from {least} to {}", u32::MAX);
         de::Error::custom(fault)
     })
--- /dev/null
+++ b/crates/daemon/tests/rendered_settings.rs
@@ -0,0 +1,94 @@
+//! Guards the settings that a platform renders from figures of its own: whole numbers, fractions,
+//! absent values and very large ones must not keep a gateway from starting.
+
+use {
+    clap::Parser,
+    sassafrasslip_daemon::{
+        arguments::DaemonArguments,
+        describe,
+        options::{DaemonOptions, GatewayOptions, units::LONGEST_DURATION},
+    },
+    sassafrasslip_testkit::test_cases,
+    std::{fs, result, time::Duration},
+};
+
+const ADDRESSES: &str = "[instance]\nname = gateway-1\navailability_zone = ruwi\nregion = muscat\n\
+    [platform]\naddress = 127.0.0.1:9000\n[metrics]\naddress = 127.0.0.1:7004\n\
+    [gateway]\ncaller_address = 127.0.0.1:7000\nreadiness_address = 127.0.0.1:7001\n\
+    peer_address = 127.0.0.1:7002\nload_address = 127.0.0.1:7003\n";
+
+fn load(line: &str) -> result::Result<GatewayOptions, String> {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("gateway.ini");
+    fs::write(&file, format!("{ADDRESSES}{line}\n")).unwrap();
+    let file = file.to_str().unwrap();
+    let arguments = DaemonArguments::parse_from(["sassafrasslipd", "check", file]);
+    let options = DaemonOptions::load(&arguments.command);
+    let options = options.map_err(|report| describe(&report))?;
+    Ok(options.gateway.unwrap())
+}
+
+fn check_allowance(value: &str, expected: f64) {
+    let options = load(&format!("retry_allowance = {value}")).unwrap();
+    assert!((options.retry_allowance - expected).abs() < 1e-9);
+}
+
+test_cases! {
+    fn check_allowance(value: &str, expected: f64);
+    allowance_of_zero: ("0", 0.0);
+    whole_allowance: ("3", 3.0);
+    whole_allowance_with_a_point: ("3.0", 3.0);
+    allowance_with_a_fraction: ("37.333333333333336", 37.333333333333336);
+    absent_allowance: ("", 20.0);
+    very_large_allowance: ("1e12", 1e12);
+}
+
+fn check_ratio(value: &str, expected: f64) {
+    let options = load(&format!("retry_ratio = {value}")).unwrap();
+    assert!((options.retry_ratio - expected).abs() < 1e-9);
+}
+
+test_cases! {
+    fn check_ratio(value: &str, expected: f64);
+    ratio_of_zero: ("0", 0.0);
+    whole_ratio: ("1", 1.0);
+    ratio_above_one: ("1.5", 1.5);
+    absent_ratio: ("", 0.1);
+}
+
+fn check_duration(line: &str, expected: Duration) {
+    let options = load(line).unwrap();
+    let durations = [
+        options.retry_window,
+        options.drain_limit,
+        options.configuration_limit,
+        options.stop_limit,
+    ];
+    assert!(durations.contains(&expected), "{durations:?}");
+}
+
+test_cases! {
+    fn check_duration(line: &str, expected: Duration);
+    whole_seconds: ("stop_limit = 8 s", Duration::from_secs(8));
+    seconds_with_a_point: ("stop_limit = 8.0 s", Duration::from_secs(8));
+    seconds_with_a_fraction: ("retry_window = 7.5 s", Duration::from_millis(7_500));
+    milliseconds_with_a_fraction: ("drain_limit = 1333.5 ms", Duration::from_micros(1_333_500));
+    absent_seconds: ("stop_limit =  s", Duration::from_secs(30));
+    absent_milliseconds: ("configuration_limit =  ms", Duration::from_secs(2));
+    seconds_beyond_the_clock: ("stop_limit = 1e300 s", LONGEST_DURATION);
+}
+
+fn check_refused(line: &str, expected: &str) {
+    let error = load(line).unwrap_err();
+    assert!(error.contains(expected), "{error}");
+}
+
+test_cases! {
+    fn check_refused(line: &str, expected: &str);
+    negative_allowance: ("retry_allowance = -1", "expected a number from 0");
+    allowance_that_is_no_number: ("retry_allowance = NaN", "expected a number from 0");
+    infinite_allowance: ("retry_allowance = inf", "expected a number from 0");
+    negative_duration: ("drain_limit = -1 ms", "expected a number above 0 with ms or s");
+    duration_of_zero: ("drain_limit = 0 ms", "expected a number above 0 with ms or s");
+    infinite_duration: ("stop_limit = inf s", "expected a number above 0 with ms or s");
+}
