Bound what targets in trouble can send, and end stops without a cut

Second copies of answers, endless heads, chunk extensions, trailers and events were bounded already. A request that had been at every target waited until it was hopeless.

Change: bytes before the head of an answer, a whole answer and all answers that are collected are bounded; only whole events count as progress, and a stream that cannot move is not ended for a pause; connections that the system has accepted when the notice ends are served, answers close their connection once the gateway leaves; a configuration that a peer has not confirmed with the store lately is taken only where the store cannot be asked. Maps are made for 0.6 of the slots at least, since the load of a start rises faster than maps follow.

--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -20,8 +20,11 @@
 /// gain while every stream is on time.
 const EASY_SHARE: f64 = 0.5;
 
-/// Factor by which requests in flight may rise until the demand shifts again.
+/// Factor by which requests in flight may rise until the demand shifts again, and the share of the
+/// slots for which a map is made at least: after a start or an outage the load rises faster than
+/// maps can follow.
 const LOAD_MARGIN: f64 = 1.3;
+const LEAST_RUNNING_SHARE: f64 = 0.6;
 
 /// Excess of the hottest rank of a set over the mean below which it is left as it is. Samples of
 /// the demand are less exact.
@@ -94,7 +97,8 @@
     let (Some(experts), Some(easy)) = (engine.experts, load.easy_pass()) else {
         return LEAST_EXCESS;
     };
-    let running = (load.running() * LOAD_MARGIN).min(f64::from(engine.slots));
+    let slots = f64::from(engine.slots);
+    let running = (load.running() * LOAD_MARGIN).clamp(slots * LEAST_RUNNING_SHARE, slots);
     let even = even_time(engine, running) * experts.share;
     let spare = easy - fixed_time(engine) - even_time(engine, running);
     (spare / even.max(f64::MIN_POSITIVE)).clamp(LEAST_EXCESS, 1.0)
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -43,6 +43,8 @@
     Chosen(TargetKey),
     /// All usable targets are full.
     Full,
+    /// The request has been at every target that takes work.
+    Exhausted,
     /// The groups of all targets miss a rank, so that none of them runs anything.
     GroupBroken,
     /// All targets that would be usable want no requests before this time.
@@ -66,6 +68,9 @@
     if summary.ready == 0 {
         return TargetChoice::Absent;
     }
+    if ready().all(|(key, _)| input.tried.contains(&key)) {
+        return TargetChoice::Exhausted;
+    }
     let free = ready().filter(|(key, target)| {
         is_usable(target, now)
             && !input.tried.contains(key)
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod engines;
 pub mod exchange;
 pub mod group_bounds;
+pub mod head_guard;
 pub mod metrics;
 pub mod peers;
 pub mod placer;
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -32,6 +32,10 @@
 /// started is listed within a heartbeat and read within the interval of the list.
 const ABSENT_TARGET_RETURN: Duration = Duration::from_millis(1500);
 
+/// When a caller may come back whose request has been at every target of its service. Full targets
+/// have room again when one of their requests ends.
+const EXHAUSTED_RETURN: Duration = Duration::from_millis(400);
+
 /// Why a request gets no target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AdmissionRefusal {
@@ -229,7 +233,10 @@
                 return_after: until.saturating_duration_since(now),
                 begins_at: Some(until),
             }),
-            TargetChoice::Chosen(_) | TargetChoice::Full | TargetChoice::Unusable => None,
+            TargetChoice::Chosen(_)
+            | TargetChoice::Exhausted
+            | TargetChoice::Full
+            | TargetChoice::Unusable => None,
         }
     }
 }
@@ -261,6 +268,10 @@
                     outcomes.push((waiter, Ok(lease(state, service, target))));
                 }
             }
+            TargetChoice::Exhausted => {
+                let reason = "every target has turned it away";
+                refuse_one(state, line, key, EXHAUSTED_RETURN, reason, outcomes);
+            }
             // Only the targets that this request has tried may be free.
             TargetChoice::Full if !input.tried.is_empty() => {}
             choice => {
@@ -291,17 +302,28 @@
         }
     });
     let refused: Vec<_> = refused.map(|(key, _)| key).collect();
-    for (position, key) in refused.into_iter().enumerate() {
-        line.line.remove(key);
-        if let Some(waiter) = line.waiters.remove(key) {
-            state.metrics.waiting.dec();
-            let refusal = LineRefusal {
-                retry_after: obstacle.return_after,
-                position,
-            };
-            let reason = obstacle.reason;
-            outcomes.push((waiter, Err(AdmissionRefusal { refusal, reason })));
-        }
+    for key in refused {
+        let (return_after, reason) = (obstacle.return_after, obstacle.reason);
+        refuse_one(state, line, key, return_after, reason, outcomes);
+    }
+}
+
+fn refuse_one(
+    state: &GatewayState,
+    line: &mut ServiceLine,
+    key: LineKey,
+    retry_after: Duration,
+    reason: &'static str,
+    outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
+) {
+    line.line.remove(key);
+    if let Some(waiter) = line.waiters.remove(key) {
+        state.metrics.waiting.dec();
+        let refusal = LineRefusal {
+            retry_after,
+            position: 0,
+        };
+        outcomes.push((waiter, Err(AdmissionRefusal { refusal, reason })));
     }
 }
 
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -7,13 +7,14 @@
         entry::callers::stall::StallGuard,
         listen,
     },
+    http::{HeaderValue, header::CONNECTION},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, pin::pin, rc::Rc, sync::Arc, time::Duration},
+    std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, sleep, timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -25,6 +26,13 @@
 /// Time before the supervisor's kill at which the process ends by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time to take over the connections that wait to be accepted when the notice ends.
+const BACKLOG_TIME: Duration = Duration::from_millis(20);
+
+/// Time that a caller whose connection was accepted last has for its first request before the
+/// connection is closed. A connection that was opened a moment ago has its request on the way.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
+
 /// Longest time to send a request head before the configuration tells another.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -37,7 +45,9 @@
         () = accept(&state, &listener, &connections, &closing, &work) => {}
         () = notice_passed(&draining) => {}
     }
-    // The listener goes first, so that no connection is accepted and then left unserved.
+    // Connections that the system has accepted already would be reset with the listener.
+    let accepting = accept(&state, &listener, &connections, &closing, &work);
+    let _ = timeout(BACKLOG_TIME, accepting).await;
     drop(listener);
     closing.cancel();
     work.close();
@@ -76,9 +86,20 @@
     let _ = stream.set_nodelay(true);
     let limits = state.table().map(|table| table.limits);
     let stream = StallGuard::new(stream, CALLER_WRITE_TIMEOUT);
+    let has_request = Rc::new(Cell::new(false));
+    let noted = Rc::clone(&has_request);
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(request::serve(state, request).await) }
+        noted.set(true);
+        async move {
+            let mut response = request::serve(Rc::clone(&state), request).await;
+            // A caller that learns it from its answer sends no request that crosses the close.
+            if state.leaving.get() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     // A connection may be idle for the idle timeout and then take the header timeout for a head.
     let header_timeout = limits.map_or(HEADER_TIMEOUT, |limits| {
@@ -91,7 +112,14 @@
     let mut connection = pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = closing.cancelled() => {}
+    }
+    if !has_request.get() {
+        let first_request = timeout(FIRST_REQUEST_GRACE, connection.as_mut());
+        if first_request.await.is_ok() {
+            return;
+        }
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/daemon/src/gateway/channels.rs
+++ b/crates/daemon/src/gateway/channels.rs
@@ -1,6 +1,7 @@
 //! Channels to targets: opened, kept, and closed at once when their request is cancelled.
 
 use {
+    super::head_guard::{HeadAllowance, HeadGuard},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -30,6 +31,11 @@
 /// Time after which the system gives up on bytes that the target has not acknowledged.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Largest head of an answer, in bytes and lines. Interim answers and the beginning of a body are
+/// bounded by [`HeadAllowance`].
+const MOST_BUFFERED_BYTES: usize = 64 * 1024;
+const MOST_HEAD_LINES: usize = 128;
+
 /// Idle channels that are kept for each target.
 const KEPT_PER_TARGET: usize = 32;
 
@@ -38,6 +44,7 @@
 pub struct TargetChannel {
     sender: SendRequest<Full<Bytes>>,
     connection: JoinHandle<()>,
+    allowance: HeadAllowance,
     /// Whether the channel has carried a request before.
     pub is_used: bool,
 }
@@ -67,7 +74,13 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let allowance = HeadAllowance::default();
+        let stream = HeadGuard::new(stream, allowance.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(MOST_BUFFERED_BYTES)
+            .max_headers(MOST_HEAD_LINES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let connection = tokio::task::spawn_local(async move {
             // The error of a connection is also given to the request that is in flight on it.
@@ -76,6 +89,7 @@
         Ok(Self {
             sender,
             connection,
+            allowance,
             is_used: false,
         })
     }
@@ -99,7 +113,9 @@
             fault: error.to_string(),
         })?;
         self.is_used = true;
+        self.allowance.begin();
         let sent = self.sender.try_send_request(request).await;
+        self.allowance.end();
         sent.map_err(|mut error| {
             let may_have_left = error.take_message().is_none();
             ChannelError {
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -3,20 +3,23 @@
 use {
     super::{
         admission::TargetLease,
-        channels::{ChannelError, TargetChannel},
+        channels::{ChannelError, TargetChannel, describe_exchange},
         state::GatewayState,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{request, response},
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::{Request, body::Incoming},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request,
+        body::{Body, Incoming},
+    },
     sassafrasslip_core::{
         dispatch::{AttemptFailure, ChannelPlan, RepeatRule, TargetEntry, plan_channel},
         events::LogEvent::AttemptDecided,
         log_event,
     },
     sassafrasslip_platform::{AnswerHead, AttemptHead, decode_answer, encode_attempt},
-    std::{result, time::Duration},
+    std::{cell::Cell, result, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -24,7 +27,15 @@
 pub type Result<T> = result::Result<T, AttemptError>;
 
 /// Largest whole answer that is collected, in bytes.
-const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MOST_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Bytes that all answers together may take while they are collected. Above it only small answers
+/// go on, so that some targets without an end to their bodies do not fill the memory of the process.
+const MOST_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
+const SMALL_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Largest rest of a rejection that is read so that its channel can be kept, in bytes.
+const MOST_REJECTION_BYTES: usize = 64 * 1024;
 
 /// Time to read the rest of a rejection, so that its channel can be kept.
 const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
@@ -125,25 +136,40 @@
     ///
     /// Fails if the channel breaks, or if the answer is too large or late.
     pub async fn collect(
-        self,
+        mut self,
         state: &GatewayState,
         until: Instant,
     ) -> Result<(response::Parts, Bytes)> {
-        let Self {
-            lease,
-            parts,
-            head,
-            channel,
-            is_kept,
-            body,
-        } = self;
-        let body = timeout_at(until, Limited::new(body, MOST_ANSWER_BYTES).collect()).await;
-        let body = body.map_err(|_| AttemptError::broken("answer is late"))?;
-        let body = body.map_err(|error| AttemptError::broken(error.to_string()))?;
-        if is_kept {
-            state.keep_channel(lease.key, channel, head.idle_timeout);
+        let body = self.read_body(&state.collected_bytes, MOST_ANSWER_BYTES);
+        let body = timeout_at(until, body).await;
+        let body = body.map_err(|_| AttemptError::broken("answer is late"))??;
+        let parts = self.parts.clone();
+        self.finish(state);
+        Ok((parts, body))
+    }
+
+    /// Reads a body of at most `most` bytes, which count as collected until it is read.
+    async fn read_body(&mut self, collected: &Cell<usize>, most: usize) -> Result<Bytes> {
+        if self.body.size_hint().lower() > most as u64 {
+            return Err(AttemptError::broken("answer is too large"));
         }
-        Ok((parts, body.to_bytes()))
+        let mut held = CollectedBytes::new(collected);
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = self
+            .next()
+            .await
+            .map_err(|error| AttemptError::broken(describe_exchange(&error)))?
+        {
+            held.add(bytes.len());
+            if held.bytes > most {
+                return Err(AttemptError::broken("answer is too large"));
+            }
+            if held.bytes > SMALL_ANSWER_BYTES && collected.get() > MOST_COLLECTED_BYTES {
+                return Err(AttemptError::broken("answers take too much memory"));
+            }
+            whole.extend_from_slice(&bytes);
+        }
+        Ok(whole.freeze())
     }
 
     /// Keeps the channel after the last bytes were read.
@@ -154,6 +180,30 @@
     }
 }
 
+/// Bytes of one answer among those that are being collected.
+#[derive(Debug)]
+struct CollectedBytes<'a> {
+    all: &'a Cell<usize>,
+    bytes: usize,
+}
+
+impl<'a> CollectedBytes<'a> {
+    fn new(all: &'a Cell<usize>) -> Self {
+        Self { all, bytes: 0 }
+    }
+
+    fn add(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.all.set(self.all.get() + bytes);
+    }
+}
+
+impl Drop for CollectedBytes<'_> {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.bytes);
+    }
+}
+
 /// Sends a request to the target of a lease and waits for the head of the answer.
 ///
 /// # Errors
@@ -205,7 +255,7 @@
     check(state, answer).await
 }
 
-async fn check(state: &GatewayState, answer: OpenAnswer) -> Result<OpenAnswer> {
+async fn check(state: &GatewayState, mut answer: OpenAnswer) -> Result<OpenAnswer> {
     let head = &answer.head;
     if !head.is_own {
         return Err(AttemptError::broken("answer belongs to another request"));
@@ -218,8 +268,10 @@
             faulty_target: head.faulty_target.clone(),
             fault: format!("target rejected the request with {status}"),
         };
-        let rest = answer.collect(state, Instant::now() + REJECTION_TIMEOUT);
-        let _ = timeout(REJECTION_TIMEOUT, rest).await;
+        let rest = answer.read_body(&state.collected_bytes, MOST_REJECTION_BYTES);
+        if let Ok(Ok(_)) = timeout(REJECTION_TIMEOUT, rest).await {
+            answer.finish(state);
+        }
         return Err(error);
     }
     if answer.parts.status.is_success() && !head.is_signed {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -432,7 +432,11 @@
     asked_at: Instant,
     peer: SocketAddr,
 ) -> Result<()> {
-    if !snapshot.document.is_empty() {
+    let configuration_age = Duration::from_millis(snapshot.configuration_age_ms);
+    let is_current = configuration_age <= state.options.configuration_limit;
+    // A peer that is cut off may hold a configuration with keys that are withdrawn. It is better
+    // than none only where the store cannot be asked.
+    if !snapshot.document.is_empty() && (is_current || state.store_failed.get()) {
         let step = PeerStep::Decode;
         let table = decode_configuration(&snapshot.document);
         let table = table.change_context(PeerError { step, peer })?;
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -124,6 +124,7 @@
         match step {
             Ok(next) => {
                 dependency.answered(now);
+                state.store_failed.set(false);
                 version = next;
                 if version.is_some() {
                     state.configured_at.set(Some(now));
@@ -131,6 +132,7 @@
             }
             Err(report) => {
                 state.metrics.store_failures.inc();
+                state.store_failed.set(true);
                 dependency.failed(&report, now);
                 sleep(RETRY_PAUSE).await;
             }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -212,8 +212,10 @@
     splitter: &mut EventSplitter,
 ) -> Result<Option<Bytes>, AttemptError> {
     let key = open.lease.key;
+    // Bytes that do not complete an event are no progress.
+    let silent_since = Instant::now();
     loop {
-        let read = read_with_silence_limit(run, open).await?;
+        let read = read_with_silence_limit(run, open, silent_since).await?;
         let Some(bytes) = read else {
             if splitter.pending_bytes() > 0 {
                 return Err(AttemptError::broken(
@@ -222,25 +224,26 @@
             }
             return Ok(None);
         };
-        run.state.record_progress(key, Instant::now());
         let events = splitter.push(&bytes);
         if splitter.pending_bytes() > MOST_EVENT_BYTES {
             return Err(AttemptError::broken("event is too long"));
         }
         if !events.is_empty() {
+            run.state.record_progress(key, Instant::now());
             return Ok(Some(events));
         }
     }
 }
 
-/// Reads the next bytes. A silent target is given up only while other targets of its service make
-/// progress: ranks that step together stall together, and moving would help nobody.
+/// Reads the next bytes. A silent target is given up only if the stream may move and while other
+/// targets of its service make progress: ranks that step together stall together, and moving would
+/// help nobody.
 async fn read_with_silence_limit(
     run: &RequestRun,
     open: &mut OpenAnswer,
+    silent_since: Instant,
 ) -> Result<Option<Bytes>, AttemptError> {
     let key = open.lease.key;
-    let silent_since = Instant::now();
     let mut review_at = silent_since + SILENCE_LIMIT;
     loop {
         let until = review_at.min(run.deadline);
@@ -256,10 +259,10 @@
                 ..AttemptError::broken("deadline passed")
             });
         }
-        if run
+        let has_others = run
             .state
-            .others_progress(&run.service, key, now - PROGRESS_WINDOW)
-        {
+            .others_progress(&run.service, key, now - PROGRESS_WINDOW);
+        if has_others && run.may_move() {
             return Err(AttemptError::broken("target is silent"));
         }
         review_at = now + SILENCE_REVIEW;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -14,8 +14,8 @@
     hyper::{Request, Response, body::Incoming},
     sassafrasslip_core::{
         dispatch::{
-            AttemptFailure, FailureContext, LineEntry, NextStep, RouteMatch, RouteMiss, RouteTable,
-            TargetId, TargetKey, decide_next_step,
+            AttemptFailure, FailureContext, LineEntry, NextStep, RepeatRule, RouteMatch, RouteMiss,
+            RouteTable, TargetId, TargetKey, decide_next_step, failure::MOST_ARRIVALS,
         },
         events::LogEvent::{
             AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
@@ -313,6 +313,14 @@
         }
     }
 
+    /// Returns whether another target may go on with the stream if this one is given up.
+    pub(super) fn may_move(&self) -> bool {
+        let route = &self.matched.route;
+        route.repeat == RepeatRule::ResumableStream
+            && self.runs + 1 < route.attempts
+            && self.arrivals < MOST_ARRIVALS
+    }
+
     /// Decides what follows a failed attempt.
     pub(super) fn after_failure(&mut self, error: &AttemptError) -> ControlFlow<OwnAnswer> {
         let now = Instant::now();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -54,6 +54,8 @@
     pub roster: RefCell<TargetRoster>,
     /// Channels to targets.
     pub channels: ChannelPool,
+    /// Bytes of answers that are being collected.
+    pub collected_bytes: Cell<usize>,
     /// Requests that wait, by service.
     pub lines: RefCell<HashMap<ServiceName, ServiceLine>>,
     /// Notified when a request begins to wait.
@@ -64,6 +66,8 @@
     pub list_digest: Cell<u64>,
     /// When the store last told that the configuration is current, itself or through a peer.
     pub configured_at: Cell<Option<Instant>>,
+    /// Whether the last call for the configuration to the store has failed.
+    pub store_failed: Cell<bool>,
     /// Other gateways.
     pub peers: RefCell<PeerTable>,
     /// Whether the next load report names the known gateways, because a new one has reported.
@@ -103,11 +107,13 @@
             metrics,
             roster: RefCell::default(),
             channels: ChannelPool::default(),
+            collected_bytes: Cell::new(0),
             lines: RefCell::default(),
             waiting: Notify::new(),
             listed_at: Cell::new(None),
             list_digest: Cell::new(0),
             configured_at: Cell::new(None),
+            store_failed: Cell::new(false),
             peers: RefCell::default(),
             gossips: Cell::new(false),
             document: RefCell::default(),
--- a/crates/daemon/src/options/source.rs
+++ b/crates/daemon/src/options/source.rs
@@ -120,11 +120,11 @@
         Err(self.error(section, None, None, "the section is missing".to_owned()))
     }
 
-    /// Leaves out keys without a value, or with a bare unit. A template renders an absent figure as
-    /// nothing; the default applies then, and a mandatory key is reported as missing.
+    /// Leaves out keys without a value. A template renders an absent figure as nothing; the default
+    /// applies then, and a mandatory key is reported as missing.
     fn drop_empty(mut self) -> Self {
         let is_empty = |value: &Value| match &value.kind {
-            ValueKind::String(text) => matches!(text.trim(), "" | "ms" | "s"),
+            ValueKind::String(text) => text.trim().is_empty(),
             _ => false,
         };
         for entries in self.sections.values_mut() {
