Take old news from a peer only where the store cannot be asked

Cause: a gateway that starts asks its peers as soon as it hears of one. A peer that is cut off answers before the store does, and its configuration has keys that are withdrawn, its list targets that have left.

Change: news older than the bounds are taken after two failed calls to the store in a row, not before.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -70,6 +70,10 @@
 /// have lapsed from it. Entries lapse after three heartbeats of more than a second.
 const OUTAGE_AGE: Duration = Duration::from_millis(2500);
 
+/// Failed calls to the store in a row from which on what a peer knows is taken although it is old.
+/// One call may only have been lost.
+const FAILURES_FOR_OLD_NEWS: u32 = 2;
+
 /// Peers that are asked at a time.
 const ASKED_PEERS: usize = 2;
 
@@ -436,7 +440,9 @@
     let is_current = configuration_age <= state.options.configuration_limit;
     // A peer that is cut off may hold a configuration with keys that are withdrawn. It is better
     // than none only where the store cannot be asked.
-    if !snapshot.document.is_empty() && (is_current || state.store_failed.get()) {
+    if !snapshot.document.is_empty()
+        && (is_current || state.configuration_failures.get() >= FAILURES_FOR_OLD_NEWS)
+    {
         let step = PeerStep::Decode;
         let table = decode_configuration(&snapshot.document);
         let table = table.change_context(PeerError { step, peer })?;
@@ -449,6 +455,10 @@
         .set(state.configured_at.get().max(configured_at));
     // The peer's list counts from when the peer has read it.
     let read_at = ago(snapshot.list_age_ms);
+    // An old list shows targets that have left. A gateway that has just started takes it only where
+    // the store cannot be asked.
+    let is_usable = Duration::from_millis(snapshot.list_age_ms) <= OUTAGE_AGE
+        || state.list_failures.get() >= FAILURES_FOR_OLD_NEWS;
     let is_newer = match (read_at, state.listed_at.get()) {
         (Some(read_at), Some(listed_at)) => read_at > listed_at,
         (_, None) => true,
@@ -458,7 +468,7 @@
     let is_unchanged = snapshot.list_unchanged && state.list_digest.get() == asked_digest;
     let records = snapshot.targets.into_iter();
     let entries: Vec<_> = records.filter_map(target_entry).collect();
-    if is_newer && (is_unchanged || !entries.is_empty()) {
+    if is_usable && is_newer && (is_unchanged || !entries.is_empty()) {
         if state.list_age(asked_at) > OUTAGE_AGE {
             let regained_at = read_at.unwrap_or(asked_at);
             state.roster.borrow_mut().regained(regained_at);
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -124,7 +124,7 @@
         match step {
             Ok(next) => {
                 dependency.answered(now);
-                state.store_failed.set(false);
+                state.configuration_failures.set(0);
                 version = next;
                 if version.is_some() {
                     state.configured_at.set(Some(now));
@@ -132,7 +132,8 @@
             }
             Err(report) => {
                 state.metrics.store_failures.inc();
-                state.store_failed.set(true);
+                let failures = state.configuration_failures.get();
+                state.configuration_failures.set(failures.saturating_add(1));
                 dependency.failed(&report, now);
                 sleep(RETRY_PAUSE).await;
             }
@@ -201,6 +202,7 @@
         }
         match store.read_targets().await {
             Ok(listing) => {
+                state.list_failures.set(0);
                 if dependency.answered(Instant::now()) {
                     state.roster.borrow_mut().regained(asked_at);
                 }
@@ -218,6 +220,8 @@
             }
             Err(report) => {
                 state.metrics.store_failures.inc();
+                let failures = state.list_failures.get();
+                state.list_failures.set(failures.saturating_add(1));
                 dependency.failed(&report, Instant::now());
                 sleep(RETRY_PAUSE).await;
             }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -66,8 +66,10 @@
     pub list_digest: Cell<u64>,
     /// When the store last told that the configuration is current, itself or through a peer.
     pub configured_at: Cell<Option<Instant>>,
-    /// Whether the last call for the configuration to the store has failed.
-    pub store_failed: Cell<bool>,
+    /// Calls for the configuration to the store that have failed in a row.
+    pub configuration_failures: Cell<u32>,
+    /// Calls for the instance list to the store that have failed in a row.
+    pub list_failures: Cell<u32>,
     /// Other gateways.
     pub peers: RefCell<PeerTable>,
     /// Whether the next load report names the known gateways, because a new one has reported.
@@ -113,7 +115,8 @@
             listed_at: Cell::new(None),
             list_digest: Cell::new(0),
             configured_at: Cell::new(None),
-            store_failed: Cell::new(false),
+            configuration_failures: Cell::new(0),
+            list_failures: Cell::new(0),
             peers: RefCell::default(),
             gossips: Cell::new(false),
             document: RefCell::default(),
