--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -207,7 +207,7 @@
 
 /// Returns the next whole events; `None` after the last ones.
 async fn next_events(
-    run: &RequestRun,
+    run: &mut RequestRun,
     open: &mut OpenAnswer,
     splitter: &mut EventSplitter,
 ) -> Result<Option<Bytes>, AttemptError> {
@@ -239,7 +239,7 @@
 /// targets of its service make progress: ranks that step together stall together, and moving would
 /// help nobody.
 async fn read_with_silence_limit(
-    run: &RequestRun,
+    run: &mut RequestRun,
     open: &mut OpenAnswer,
     silent_since: Instant,
 ) -> Result<Option<Bytes>, AttemptError> {
@@ -262,7 +262,7 @@
         let has_others = run
             .state
             .others_progress(&run.service, key, now - PROGRESS_WINDOW);
-        if has_others && run.may_move() {
+        if has_others && run.reserve_move(now) {
             return Err(AttemptError::broken("target is silent"));
         }
         review_at = now + SILENCE_REVIEW;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -24,7 +24,7 @@
         log_event,
     },
     sassafrasslip_platform::{CallerHead, answer::forwarded_headers, decode_caller},
-    std::{ops::ControlFlow, rc::Rc, time::Duration},
+    std::{mem, ops::ControlFlow, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -135,6 +135,8 @@
     runs: u32,
     arrivals: u32,
     first_sent_at: Option<Instant>,
+    /// Whether a retry has been taken from the budget for the move of a stream.
+    has_reserved_retry: bool,
     /// Time from the arrival to the first events of a stream.
     pub(super) first_event: Option<Duration>,
     /// Longest pause between events of a stream.
@@ -186,6 +188,7 @@
             runs: 0,
             arrivals: 0,
             first_sent_at: None,
+            has_reserved_retry: false,
             first_event: None,
             longest_pause: Duration::ZERO,
             is_settled: false,
@@ -313,12 +316,15 @@
         }
     }
 
-    /// Returns whether another target may go on with the stream if this one is given up.
-    pub(super) fn may_move(&self) -> bool {
+    /// Reserves the retry with which another target goes on with the stream if this one is given
+    /// up; returns whether there is one. A stream that cannot move is not ended for its silence.
+    pub(super) fn reserve_move(&mut self, now: Instant) -> bool {
         let route = &self.matched.route;
-        route.repeat == RepeatRule::ResumableStream
+        let may_move = route.repeat == RepeatRule::ResumableStream
             && self.runs + 1 < route.attempts
-            && self.arrivals < MOST_ARRIVALS
+            && self.arrivals < MOST_ARRIVALS;
+        self.has_reserved_retry = may_move && self.state.try_spend_retry(&self.service, now);
+        self.has_reserved_retry
     }
 
     /// Decides what follows a failed attempt.
@@ -331,14 +337,16 @@
         if let Some(key) = target {
             self.note_failure(key, error, now);
         }
-        let route = &self.matched.route;
         let is_late = now >= self.deadline;
+        let has_reserved = mem::take(&mut self.has_reserved_retry);
+        let route = &self.matched.route;
         let context = FailureContext {
             repeat: route.repeat,
             runs: self.runs,
             arrivals: self.arrivals,
             run_limit: route.attempts,
-            has_budget: !is_late && self.state.try_spend_retry(&self.service, now),
+            has_budget: !is_late
+                && (has_reserved || self.state.try_spend_retry(&self.service, now)),
         };
         let next = decide_next_step(error.failure, &context);
         let name = target.and_then(|key| self.target_name(key));
