Know breaks and openings of groups at once, and refuse what cannot wait

All ranks reject at one instant but name themselves, so that the break was taken from the list 0.1 to 0.8 s later and never by the gateway in the zone that is cut off; it sent 25 requests a second to ranks that reject them. Callers who came back were held until they left.

Change: a rejection by a rank with room in a silent group shows a break; reports of ranks end it, merged with news of peers in any order. All ranks are asked; when each answers again the group is about to form. A request waits while the outage is younger than the time that it can wait, and is refused otherwise, with a third of its time as Retry-After. A placer that saw the group broken gives the next formation its first map without the pause of a takeover, before a pause was seen.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -7,8 +7,10 @@
 pub mod demand_window;
 pub mod event_stream;
 pub mod failure;
+pub mod group_watch;
 pub mod map_plan;
 pub mod map_switch;
+pub mod outage_plan;
 pub mod pass_governor;
 pub mod peer_table;
 pub mod rank_status;
@@ -23,7 +25,9 @@
     channel_plan::{ChannelPlan, plan_channel},
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step},
+    group_watch::{DatedView, GroupWatch, RankRejection},
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
+    outage_plan::{OutageStep, decide_during_outage},
     pass_governor::{GroupLoad, PassGovernor, StartPacer},
     peer_table::{PeerReport, PeerTable},
     rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
--- /dev/null
+++ b/crates/core/src/dispatch/group_watch.rs
@@ -0,0 +1,158 @@
+//! What a gateway knows about the formations of groups beyond the instance list.
+//!
+//! Load pattern: a zone is cut off, so that a group misses ranks. Its streams end at one instant and
+//! every rank rejects what it gets, but the list shows it only a heartbeat later, and a gateway in
+//! the zone that is cut off never reads it. Each request that is sent meanwhile costs its caller the
+//! one chance to come back. When the group opens again, each moment until that is known adds to the
+//! requests that give up.
+//!
+//! A formation has a number that rises, and never opens again once it is broken. Views of it from
+//! lists, reports and peers may therefore be merged in any order. A break that was only concluded
+//! from rejections is a doubt, which answers and reports of ranks end.
+
+use {
+    super::target_roster::GroupView,
+    crate::ids::GroupName,
+    std::{cmp::Reverse, collections::HashMap, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Least silence of all ranks that, together with a rejection, shows that the group has stalled
+/// and not that one rank is full. Passes take up to some 150 ms.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
+
+/// Passes that the silence lasts at least.
+const SILENT_PASSES: u32 = 4;
+
+/// Time after rejections from which on a report that shows the same formation open refutes them.
+/// Ranks report what was some hundred milliseconds ago.
+const DOUBT_TIME: Duration = Duration::from_millis(400);
+
+/// Time for which peers are told what a report has shown. Datagrams may be lost; the instance list
+/// shows the same by then.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+
+/// View of a group, and the moment that it describes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DatedView {
+    /// State of the group.
+    pub view: GroupView,
+    /// Moment that it describes.
+    pub as_of: Instant,
+}
+
+/// What a rejection of a request by a rank shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RankRejection {
+    /// Whether the answer names another rank as the cause.
+    pub names_another: bool,
+    /// Whether the rank has a free slot as far as this gateway knows.
+    pub had_room: bool,
+    /// Time since a rank of the group last sent an event to this gateway; `None` if none has.
+    pub silent_for: Option<Duration>,
+    /// Time of a pass; `None` while unknown.
+    pub pass: Option<Duration>,
+}
+
+impl RankRejection {
+    /// Returns whether the rejection shows that the group misses a rank. Other ranks go on while
+    /// only this one is full or ill.
+    pub fn shows_break(&self) -> bool {
+        let usual = self.pass.unwrap_or_default() * SILENT_PASSES;
+        let is_silent = self
+            .silent_for
+            .is_some_and(|silence| silence >= usual.max(LEAST_SILENCE));
+        self.names_another || (self.had_room && is_silent)
+    }
+}
+
+/// Formation that rejections have shown to miss a rank.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    epoch: u64,
+    since: Instant,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownFormation {
+    /// Latest view from reports of ranks and from peers, and when it became known here.
+    latest: Option<(DatedView, Instant)>,
+    doubt: Option<Doubt>,
+}
+
+/// Knowledge about the formations of all groups.
+#[derive(Debug, Default)]
+pub struct GroupWatch {
+    formations: HashMap<GroupName, KnownFormation>,
+}
+
+impl GroupWatch {
+    /// Notes that rejections show that the formation `epoch` misses a rank.
+    pub fn note_break(&mut self, name: &GroupName, epoch: u64, now: Instant) {
+        let known = self.formations.entry(name.clone()).or_default();
+        let is_known = known.doubt.is_some_and(|doubt| doubt.epoch >= epoch);
+        if !is_known {
+            known.doubt = Some(Doubt { epoch, since: now });
+        }
+    }
+
+    /// Notes that a rank has begun to answer, which one of a broken group cannot. Returns whether
+    /// that ends a doubt.
+    pub fn note_running(&mut self, name: &GroupName) -> bool {
+        let known = self.formations.get_mut(name);
+        known.is_some_and(|known| known.doubt.take().is_some())
+    }
+
+    /// Notes what a report of a rank or a peer says. Returns whether that is news.
+    pub fn note_view(&mut self, name: &GroupName, dated: DatedView, now: Instant) -> bool {
+        let known = self.formations.entry(name.clone()).or_default();
+        let DatedView { view, as_of } = dated;
+        // A report from before the rejections says nothing about them.
+        let ended = known.doubt.take_if(|doubt| {
+            view.is_open && (view.epoch > doubt.epoch || as_of > doubt.since + DOUBT_TIME)
+        });
+        let is_newer = known
+            .latest
+            .is_none_or(|(latest, _)| newest(latest.view, view) != latest.view);
+        if is_newer || ended.is_some() {
+            known.latest = Some((dated, now));
+        }
+        is_newer || ended.is_some()
+    }
+
+    /// Returns what peers should hear about groups.
+    pub fn news(&self, now: Instant) -> impl Iterator<Item = (&GroupName, DatedView)> {
+        self.formations.iter().filter_map(move |(name, known)| {
+            let (dated, known_since) = known.latest?;
+            (now < known_since + NEWS_TIME).then_some((name, dated))
+        })
+    }
+
+    /// Returns the state of a group that the list shows as `listed`.
+    pub fn merge(&self, name: &GroupName, listed: GroupView) -> GroupView {
+        let Some(known) = self.formations.get(name) else {
+            return listed;
+        };
+        let latest = known.latest.map(|(latest, _)| latest.view);
+        let mut view = latest.map_or(listed, |latest| newest(listed, latest));
+        if known.doubt.is_some_and(|doubt| doubt.epoch >= view.epoch) {
+            view.is_open = false;
+        }
+        view
+    }
+
+    /// Forgets the groups that are no longer listed.
+    pub fn retain(&mut self, is_listed: impl Fn(&GroupName) -> bool) {
+        self.formations.retain(|name, _| is_listed(name));
+    }
+}
+
+/// Returns the later of two views: of the newer formation, or of the same one after its break.
+fn newest(left: GroupView, right: GroupView) -> GroupView {
+    let age = |view: &GroupView| (view.epoch, Reverse(view.is_open));
+    if age(&right) > age(&left) {
+        right
+    } else {
+        left
+    }
+}
--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -11,6 +11,9 @@
 /// Skew that a good map has under a demand that it was made for.
 const USUAL_SKEW: f64 = 1.2;
 
+/// Skew that experts dealt out in turn have under a usual demand.
+const FIRST_MAP_SKEW: f64 = 3.0;
+
 /// Factor over the expected time beyond which a pass counts as slow. Passes vary with the prompts
 /// that they read.
 const SLOW_FACTOR: f64 = 1.22;
@@ -69,6 +72,22 @@
         f64::from(self.in_flight) / self.ranks.max(1) as f64
     }
 
+    /// Returns the time of a pass with the map of a new formation, which no demand was made for.
+    pub fn first_map_pass(&self, engine: &EngineProfile) -> Duration {
+        let skew = engine.experts.map_or(1.0, |experts| {
+            1.0 - experts.share + experts.share * FIRST_MAP_SKEW
+        });
+        Duration::from_secs_f64(fixed_time(engine) + even_time(engine, self.running()) * skew)
+    }
+
+    /// Returns whether passes may become too slow with the map of a new formation. It need not be
+    /// measured: by the time that streams show it, most of those that have waited for the group are
+    /// late.
+    pub fn endangers_pauses(&self, engine: &EngineProfile) -> bool {
+        let pass = self.first_map_pass(engine).as_secs_f64();
+        self.running() >= LEAST_LOAD && self.easy_pass().is_none_or(|easy| pass > easy)
+    }
+
     /// Returns the longest pass that leaves the streams enough of their pauses.
     fn easy_pass(&self) -> Option<f64> {
         let objective = self.pause_objective?;
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -45,8 +45,9 @@
     Full,
     /// The request has been at every target that takes work.
     Exhausted,
-    /// The groups of all targets miss a rank, so that none of them runs anything.
-    GroupBroken,
+    /// The groups of all targets miss a rank, so that none of them runs anything; with the latest
+    /// of the moments since which they do not, or since which all ranks of one answer again.
+    GroupBroken(Instant),
     /// All targets that would be usable want no requests before this time.
     HeldOff(Instant),
     /// Targets are known, but none is usable.
@@ -85,7 +86,11 @@
     match best {
         Some((key, _)) => TargetChoice::Chosen(*key),
         None if summary.usable > 0 => TargetChoice::Full,
-        None if summary.broken > 0 => TargetChoice::GroupBroken,
+        None if summary.broken > 0 => {
+            let names = summary.group_loads.keys();
+            let outages = names.filter_map(|name| roster.outage_since(name));
+            TargetChoice::GroupBroken(outages.max().unwrap_or(now))
+        }
         None => summary
             .held_off_until
             .map_or(TargetChoice::Unusable, TargetChoice::HeldOff),
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -1,7 +1,10 @@
 //! Targets as the instance list shows them, and what this gateway knows about each.
 
 use {
-    super::target_health::TargetHealth,
+    super::{
+        group_watch::{DatedView, GroupWatch, RankRejection},
+        target_health::TargetHealth,
+    },
     crate::ids::{GroupName, ServiceName, ZoneName},
     slotmap::{SlotMap, new_key_type},
     std::{
@@ -185,8 +188,10 @@
     targets: SlotMap<TargetKey, DirectTarget>,
     keys: HashMap<TargetId, TargetKey>,
     groups: HashMap<GroupName, GroupView>,
-    /// Formations that answers have shown to miss a rank before the list did.
-    broken: HashMap<GroupName, u64>,
+    /// Since when broken groups have run nothing, or since when all of their ranks answer again.
+    outages: HashMap<GroupName, Instant>,
+    /// What reports, peers and answers have shown about groups before the list did.
+    watch: GroupWatch,
     /// Notices of targets that are gone from the list.
     notices: HashMap<TargetId, KeptNotice>,
     /// When the list could be read again after an outage. Until [`LAPSE_GRACE`] later, a target that
@@ -282,7 +287,7 @@
         for key in missing {
             self.remove(key, now, &mut changes);
         }
-        self.review_groups(&mut changes);
+        self.review_groups(now, &mut changes);
         changes
     }
 
@@ -326,36 +331,89 @@
         &self.groups
     }
 
-    /// Notes that an answer has shown that the group of a target misses a rank.
-    pub fn note_broken_group(&mut self, key: TargetKey) -> Vec<RosterChange> {
+    /// Notes that a rank has rejected a request, which may show that its group misses a rank.
+    /// `pass` is the time of a pass of the group.
+    pub fn note_rejection(
+        &mut self,
+        key: TargetKey,
+        names_another: bool,
+        pass: Option<Duration>,
+        now: Instant,
+    ) -> Vec<RosterChange> {
         let mut changes = Vec::new();
         let target = self.targets.get(key);
-        if let Some(seat) = target.and_then(|target| target.entry.group.clone()) {
-            let view = self.groups.get(&seat.name);
-            let epoch = view.map_or(seat.epoch, |view| view.epoch);
-            self.broken.insert(seat.name, epoch);
-            self.review_groups(&mut changes);
+        let Some((target, seat)) = target.and_then(|target| {
+            let seat = target.entry.group.as_ref()?;
+            Some((target, seat))
+        }) else {
+            return changes;
+        };
+        let name = seat.name.clone();
+        let progress_at = self.ranks_of(&name).filter_map(|rank| rank.progress_at);
+        let rejection = RankRejection {
+            names_another,
+            // The rejected request itself still counts.
+            had_room: target.in_flight() <= target.entry.slots,
+            silent_for: progress_at
+                .max()
+                .map(|at| now.saturating_duration_since(at)),
+            pass,
+        };
+        if rejection.shows_break() {
+            let epoch = self.groups.get(&name).map_or(seat.epoch, |view| view.epoch);
+            self.watch.note_break(&name, epoch, now);
+            self.review_groups(now, &mut changes);
         }
         changes
     }
 
     /// Notes that a target has begun to answer, which a rank of a broken group cannot.
-    pub fn note_running_group(&mut self, key: TargetKey) -> Vec<RosterChange> {
+    pub fn note_running_group(&mut self, key: TargetKey, now: Instant) -> Vec<RosterChange> {
         let mut changes = Vec::new();
         let target = self.targets.get(key);
-        let name = target.and_then(|target| target.entry.group.as_ref());
-        if let Some(name) = name.map(|seat| seat.name.clone())
-            && self.broken.remove(&name).is_some()
-        {
-            self.review_groups(&mut changes);
+        let seat = target.and_then(|target| target.entry.group.as_ref());
+        if seat.is_some_and(|seat| self.watch.note_running(&seat.name)) {
+            self.review_groups(now, &mut changes);
+        }
+        changes
+    }
+
+    /// Notes what a report of a rank or a peer says about a group.
+    pub fn note_group_view(
+        &mut self,
+        name: &GroupName,
+        dated: DatedView,
+        now: Instant,
+    ) -> Vec<RosterChange> {
+        let mut changes = Vec::new();
+        if self.groups.contains_key(name) && self.watch.note_view(name, dated, now) {
+            self.review_groups(now, &mut changes);
         }
         changes
     }
 
+    /// Notes that all ranks of a broken group answer again, so that it is about to form.
+    pub fn note_forming_group(&mut self, name: &GroupName, now: Instant) {
+        if let Some(since) = self.outages.get_mut(name) {
+            *since = now;
+        }
+    }
+
+    /// Returns since when a broken group has run nothing, or since when all of its ranks answer
+    /// again; `None` for one that runs.
+    pub fn outage_since(&self, name: &GroupName) -> Option<Instant> {
+        self.outages.get(name).copied()
+    }
+
+    /// Returns what peers should hear about groups.
+    pub fn group_news(&self, now: Instant) -> impl Iterator<Item = (&GroupName, DatedView)> {
+        self.watch.news(now)
+    }
+
     /// Works out the state of each group. Entries of ranks are up to a heartbeat old, but each
     /// formation has a higher number than the one before and never opens again once it is broken:
     /// the newest formation counts, and it is broken if any of its ranks says so.
-    fn review_groups(&mut self, changes: &mut Vec<RosterChange>) {
+    fn review_groups(&mut self, now: Instant, changes: &mut Vec<RosterChange>) {
         let mut views: HashMap<&GroupName, GroupView> = HashMap::new();
         for target in self.targets.values() {
             let Some(seat) = &target.entry.group else {
@@ -371,24 +429,24 @@
                 view.is_open &= is_open;
             }
         }
-        for (name, view) in &mut views {
-            if self
-                .broken
-                .get(*name)
-                .is_some_and(|broken| *broken >= view.epoch)
-            {
-                view.is_open = false;
-            }
-        }
+        let views = views.into_iter();
         let views: HashMap<_, _> = views
-            .into_iter()
-            .map(|(name, view)| (name.clone(), view))
+            .map(|(name, listed)| (name.clone(), self.watch.merge(name, listed)))
             .collect();
         for (name, view) in &views {
             if self.groups.get(name) != Some(view) {
                 changes.push(RosterChange::Group(name.clone(), *view));
             }
         }
+        self.outages
+            .retain(|name, _| views.get(name).is_some_and(|view| !view.is_open));
+        for (name, _) in views.iter().filter(|(_, view)| !view.is_open) {
+            if !self.outages.contains_key(name) {
+                let progress_at = self.ranks_of(name).filter_map(|rank| rank.progress_at);
+                let stalled_at = progress_at.max().unwrap_or(now);
+                self.outages.insert(name.clone(), stalled_at);
+            }
+        }
         let holders = self.seat_holders();
         for (key, target) in &mut self.targets {
             let seat = target.entry.group.as_ref();
@@ -396,7 +454,7 @@
             target.group_runs = view.is_none_or(|view| view.is_open);
             target.is_superseded = seat.is_some() && !holders.contains(&key);
         }
-        self.broken.retain(|name, _| views.contains_key(name));
+        self.watch.retain(|name| views.contains_key(name));
         self.groups = views;
     }
 
--- a/crates/core/src/dispatch/waiting_line.rs
+++ b/crates/core/src/dispatch/waiting_line.rs
@@ -34,6 +34,10 @@
     pub start_until: Instant,
     /// When the request arrived.
     pub arrived_at: Instant,
+    /// End of the time in which the caller can be answered, also if it comes back.
+    pub deadline: Instant,
+    /// Whether the caller has the time to come back after a refusal.
+    pub can_return: bool,
 }
 
 /// Why a request leaves the line without a target.
@@ -72,9 +76,9 @@
         self.places.is_empty()
     }
 
-    /// Returns the latest start of a waiting request.
-    pub fn start_until(&self, key: LineKey) -> Option<Instant> {
-        self.places.get(key).map(|place| place.entry.start_until)
+    /// Returns the waiting requests.
+    pub fn entries(&self) -> impl Iterator<Item = (LineKey, &LineEntry)> {
+        self.places.iter().map(|(key, place)| (key, &place.entry))
     }
 
     /// Adds a request.
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -122,6 +122,7 @@
     7011 GroupChanged Info "state of a model group";
     7012 PeerChanged Info "peer gateway joined or left";
     7013 TargetHeldOff Info "target wants no requests for a while";
+    7014 GroupForming Info "all ranks of a broken group answer again";
     8001 PlatformUnavailable Warn "platform call failed";
     8002 PlatformRecovered Info "platform answers again";
 }
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -182,7 +182,7 @@
     let mut roster = TargetRoster::default();
     let none = HashMap::new();
     roster.apply(vec![rank("r0", 0, 1, true), rank("r1", 1, 1, false)], now);
-    assert_eq!(choose(&roster, &none, now), TargetChoice::GroupBroken);
+    assert_eq!(choose(&roster, &none, now), TargetChoice::GroupBroken(now));
     let later = now + Duration::from_secs(1);
     roster.apply(vec![rank("r0", 0, 2, true), rank("r1", 1, 1, false)], later);
     assert!(matches!(
@@ -222,9 +222,9 @@
     let none = HashMap::new();
     roster.apply(vec![rank("r0", 0, 1, true), rank("r1", 1, 1, true)], now);
     let first = roster.find("r0").unwrap();
-    roster.note_broken_group(first);
-    assert_eq!(choose(&roster, &none, now), TargetChoice::GroupBroken);
-    roster.note_running_group(first);
+    roster.note_rejection(first, true, None, now);
+    assert_eq!(choose(&roster, &none, now), TargetChoice::GroupBroken(now));
+    roster.note_running_group(first, now);
     assert!(matches!(
         choose(&roster, &none, now),
         TargetChoice::Chosen(_)
--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -246,6 +246,8 @@
         on_time_until: arrived_at + Duration::from_millis(250),
         start_until: arrived_at + Duration::from_millis(1_700),
         arrived_at,
+        deadline: arrived_at + Duration::from_millis(8_000),
+        can_return: true,
     }
 }
 
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -4,8 +4,8 @@
     super::state::GatewayState,
     sassafrasslip_core::{
         dispatch::{
-            ChoiceInput, LineEntry, LineKey, LineRefusal, TargetChoice, TargetKey, WaitingLine,
-            choose_target,
+            ChoiceInput, LineEntry, LineKey, LineRefusal, OutageStep, TargetChoice, TargetKey,
+            WaitingLine, choose_target, decide_during_outage,
         },
         ids::ServiceName,
     },
@@ -24,10 +24,6 @@
 /// without any event that would cause a review.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(20);
 
-/// When a caller may come back whose service has only broken groups. A process is back after
-/// two to five seconds; callers wait for at most a third of the time they have left.
-const BROKEN_GROUP_RETURN: Duration = Duration::from_millis(2500);
-
 /// When a caller may come back whose service has no target that takes work. A target that has
 /// started is listed within a heartbeat and read within the interval of the list.
 const ABSENT_TARGET_RETURN: Duration = Duration::from_millis(1500);
@@ -54,8 +50,6 @@
     pub entry: LineEntry,
     /// Targets that earlier attempts have used.
     pub tried: Vec<TargetKey>,
-    /// Whether the caller has the time to come back after a refusal.
-    pub can_return: bool,
 }
 
 /// Slot at a target, held while a request is in flight there.
@@ -80,7 +74,6 @@
 #[derive(Debug)]
 struct Waiter {
     tried: Vec<TargetKey>,
-    can_return: bool,
     grant: oneshot::Sender<Result<TargetLease>>,
 }
 
@@ -130,7 +123,6 @@
         let key = line.line.push(request.entry);
         let waiter = Waiter {
             tried: request.tried,
-            can_return: request.can_return,
             grant: sender,
         };
         line.waiters.insert(key, waiter);
@@ -189,8 +181,8 @@
                 state.metrics.waiting.dec();
                 let mut reason = "no target in time";
                 if let Some(obstacle) = &obstacle {
-                    refusal.retry_after = obstacle.return_after;
-                    reason = obstacle.reason;
+                    refusal.retry_after = obstacle.return_after(now);
+                    reason = obstacle.reason();
                 }
                 let refusal = AdmissionRefusal { refusal, reason };
                 outcomes.push((waiter, Err(refusal)));
@@ -205,40 +197,59 @@
 
 /// What keeps all targets of a service from taking requests.
 #[derive(Clone, Copy, Debug)]
-struct ServiceObstacle {
-    reason: &'static str,
-    /// When callers may come back.
-    return_after: Duration,
-    /// When requests that cannot start before are refused; `None` for those whose callers have the
-    /// time to come back.
-    begins_at: Option<Instant>,
+enum ServiceObstacle {
+    /// No group runs since then, and nobody knows for how long.
+    GroupBroken(Instant),
+    /// No target is there.
+    Absent,
+    /// The targets want no requests until then.
+    HeldOff(Instant),
 }
 
 impl ServiceObstacle {
     /// Returns what a choice shows; `None` if requests can start or wait for a slot.
-    fn of(choice: TargetChoice, now: Instant) -> Option<Self> {
+    fn of(choice: TargetChoice) -> Option<Self> {
         match choice {
-            TargetChoice::GroupBroken => Some(Self {
-                reason: "group misses a rank",
-                return_after: BROKEN_GROUP_RETURN,
-                begins_at: None,
-            }),
-            TargetChoice::Absent => Some(Self {
-                reason: "no target takes work",
-                return_after: ABSENT_TARGET_RETURN,
-                begins_at: None,
-            }),
-            TargetChoice::HeldOff(until) => Some(Self {
-                reason: "all targets turn requests away",
-                return_after: until.saturating_duration_since(now),
-                begins_at: Some(until),
-            }),
+            TargetChoice::GroupBroken(since) => Some(Self::GroupBroken(since)),
+            TargetChoice::Absent => Some(Self::Absent),
+            TargetChoice::HeldOff(until) => Some(Self::HeldOff(until)),
             TargetChoice::Chosen(_)
             | TargetChoice::Exhausted
             | TargetChoice::Full
             | TargetChoice::Unusable => None,
         }
     }
+
+    const fn reason(self) -> &'static str {
+        match self {
+            Self::GroupBroken(_) => "group misses a rank",
+            Self::Absent => "no target takes work",
+            Self::HeldOff(_) => "all targets turn requests away",
+        }
+    }
+
+    /// Returns when the caller of a request may come back if it gains nothing by waiting.
+    fn decide(self, entry: &LineEntry, now: Instant) -> Option<Duration> {
+        match self {
+            Self::GroupBroken(since) => match decide_during_outage(entry, since, now) {
+                OutageStep::Wait => None,
+                OutageStep::Refuse(return_after) => Some(return_after),
+            },
+            Self::Absent => entry.can_return.then_some(ABSENT_TARGET_RETURN),
+            Self::HeldOff(until) => {
+                let is_late = entry.start_until < until;
+                is_late.then(|| until.saturating_duration_since(now))
+            }
+        }
+    }
+
+    /// Returns when the caller of a request may come back that can no longer start in time.
+    fn return_after(self, now: Instant) -> Duration {
+        match self {
+            Self::GroupBroken(_) | Self::Absent => ABSENT_TARGET_RETURN,
+            Self::HeldOff(until) => until.saturating_duration_since(now),
+        }
+    }
 }
 
 /// Starts the requests for which there is a target; returns what keeps all targets from taking any.
@@ -275,8 +286,8 @@
             // Only the targets that this request has tried may be free.
             TargetChoice::Full if !input.tried.is_empty() => {}
             choice => {
-                let obstacle = ServiceObstacle::of(choice, now)?;
-                refuse_obstructed(state, line, &obstacle, outcomes);
+                let obstacle = ServiceObstacle::of(choice)?;
+                refuse_obstructed(state, line, obstacle, now, outcomes);
                 return Some(obstacle);
             }
         }
@@ -284,27 +295,19 @@
     None
 }
 
-/// Refuses the requests that gain nothing by waiting. Without a known end of the obstacle, these
-/// are the ones whose callers can come back: a group forms again within seconds, which is longer
-/// than the callers of streams wait for a first event. A caller that cannot come back has nothing
-/// to lose by waiting.
+/// Refuses the requests that gain nothing by waiting.
 fn refuse_obstructed(
     state: &GatewayState,
     line: &mut ServiceLine,
-    obstacle: &ServiceObstacle,
+    obstacle: ServiceObstacle,
+    now: Instant,
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
 ) {
-    let refused = line.waiters.iter().filter(|(key, waiter)| {
-        let starts_until = line.line.start_until(*key);
-        match obstacle.begins_at.zip(starts_until) {
-            Some((begins_at, starts_until)) => starts_until < begins_at,
-            None => waiter.can_return,
-        }
-    });
-    let refused: Vec<_> = refused.map(|(key, _)| key).collect();
-    for key in refused {
-        let (return_after, reason) = (obstacle.return_after, obstacle.reason);
-        refuse_one(state, line, key, return_after, reason, outcomes);
+    let entries = line.line.entries();
+    let refused = entries.filter_map(|(key, entry)| Some((key, obstacle.decide(entry, now)?)));
+    let refused: Vec<_> = refused.collect();
+    for (key, return_after) in refused {
+        refuse_one(state, line, key, return_after, obstacle.reason(), outcomes);
     }
 }
 
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -8,8 +8,8 @@
     hyper::{Request, StatusCode},
     sassafrasslip_core::{
         dispatch::{
-            OrderOutcome, RankControl, RankOrder, RankStatus, TargetId, channel_plan::idle_limit,
-            map_switch::RankIndex,
+            GroupView, OrderOutcome, RankControl, RankOrder, RankStatus, TargetId,
+            channel_plan::idle_limit, map_switch::RankIndex,
         },
         events::LogEvent::OrderMissed,
         ids::GroupName,
@@ -20,7 +20,7 @@
         ExpertPicks,
         caller::expected_target,
         engine::{
-            COUNTS_PATH, HOLDINGS_PATH, ORDER_PATH, REPORT_PATH, decode_holdings,
+            COUNTS_PATH, HOLDINGS_PATH, ORDER_PATH, REPORT_PATH, decode_formation, decode_holdings,
             decode_order_outcome, decode_picks, decode_report, encode_order,
         },
     },
@@ -129,6 +129,18 @@
         (status.epoch == self.epoch).then_some(status)
     }
 
+    /// Reads the state of the group from the report of a rank, in whichever formation it is.
+    pub async fn formation(&self, rank: RankIndex) -> Option<GroupView> {
+        let body = self.get(rank, REPORT_PATH).await?;
+        decode_formation(&body).ok()
+    }
+
+    /// Returns whether a rank answers at all, if only to say that another target has its address.
+    pub async fn answers(&self, rank: RankIndex) -> bool {
+        let answer = self.call(rank, Method::GET, REPORT_PATH, Bytes::new());
+        answer.await.is_some()
+    }
+
     /// Reads the choices of a rank's requests.
     pub async fn picks(&self, rank: RankIndex) -> Option<ExpertPicks> {
         let body = self.get(rank, COUNTS_PATH).await?;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -11,14 +11,17 @@
     prost::Message,
     sassafrasslip_core::{
         dispatch::{
-            GroupSeat, PeerReport, TargetEntry, TargetRoster, TargetState,
+            DatedView, GroupSeat, GroupView, PeerReport, TargetEntry, TargetRoster, TargetState,
             peer_table::{PeerLoad, remote_interval},
         },
         events::LogEvent::{FrameDropped, PeerChanged},
+        ids::GroupName,
         log_event,
     },
     sassafrasslip_platform::decode_configuration,
-    sassafrasslip_proto::peer::{GroupRecord, LoadReport, Snapshot, SnapshotRequest, TargetRecord},
+    sassafrasslip_proto::peer::{
+        GroupNews, GroupRecord, LoadReport, Snapshot, SnapshotRequest, TargetRecord,
+    },
     std::{
         error::Error,
         fmt, io,
@@ -118,12 +121,17 @@
     // After a freeze, one report tells everything.
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut was_idle = true;
-    for tick in 0_u64.. {
-        ticks.tick().await;
+    let mut tick = 0_u64;
+    for sequence in 0_u64.. {
+        let is_news = tokio::select! {
+            _ = ticks.tick() => false,
+            () = state.group_news.notified() => true,
+        };
+        tick += u64::from(!is_news);
         let now = Instant::now();
         state.peers.borrow_mut().suggest(seeds(&state), now);
         expire(&state, now);
-        let mut report = own_report(&state, incarnation, tick);
+        let mut report = own_report(&state, incarnation, sequence);
         let is_idle = report.targets.is_empty();
         let (known, remote) = {
             let peers = state.peers.borrow();
@@ -136,8 +144,10 @@
             report.gateways = state.peers.borrow().known().map(u32::from).collect();
         }
         // A report that says that nothing is left in flight matters as much as one of load.
-        let is_due =
-            gossips || !(is_idle && was_idle) || tick.is_multiple_of(REPORTS_PER_HEARTBEAT);
+        let is_due = is_news
+            || gossips
+            || !(is_idle && was_idle)
+            || tick.is_multiple_of(REPORTS_PER_HEARTBEAT);
         was_idle = is_idle;
         if is_due {
             report.interval_ms = ZONE_INTERVAL.as_millis() as u32;
@@ -147,7 +157,7 @@
         // Sent by an idle gateway too, which would look silent in other zones otherwise.
         let interval = remote_interval(remote.len());
         let remote_ticks = interval.as_millis().div_ceil(ZONE_INTERVAL.as_millis()) as u64;
-        if gossips || tick.is_multiple_of(remote_ticks) {
+        if is_news || gossips || tick.is_multiple_of(remote_ticks) {
             report.interval_ms = interval.as_millis() as u32;
             send_report(&socket, &report, &remote, port);
         }
@@ -181,6 +191,7 @@
 }
 
 fn own_report(state: &GatewayState, incarnation: u64, sequence: u64) -> LoadReport {
+    let now = Instant::now();
     let roster = state.roster.borrow();
     let busy = roster.iter().filter(|(_, target)| target.own_in_flight > 0);
     let (targets, in_flight) = busy
@@ -194,11 +205,37 @@
         in_flight,
         gateways: Vec::new(),
         leaving: state.leaving.get(),
-        settled: state.is_settled(Instant::now()),
+        settled: state.is_settled(now),
         interval_ms: 0,
+        groups: roster
+            .group_news(now)
+            .map(|(name, dated)| group_news(name, &dated, now))
+            .collect(),
+    }
+}
+
+fn group_news(name: &GroupName, dated: &DatedView, now: Instant) -> GroupNews {
+    let age = now.saturating_duration_since(dated.as_of);
+    GroupNews {
+        name: name.to_string(),
+        epoch: dated.view.epoch,
+        is_open: dated.view.is_open,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
+fn note_group_news(state: &GatewayState, news: &GroupNews, now: Instant) {
+    let age = Duration::from_millis(news.age_ms.into());
+    let (Ok(name), Some(as_of)) = (news.name.parse(), now.checked_sub(age)) else {
+        return;
+    };
+    let view = GroupView {
+        epoch: news.epoch,
+        is_open: news.is_open,
+    };
+    state.note_group_view(&name, DatedView { view, as_of }, "peer");
+}
+
 async fn receive_reports(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut buffer = BytesMut::zeroed(MOST_DATAGRAM_BYTES);
     loop {
@@ -228,6 +265,9 @@
 
 fn record(state: &GatewayState, address: Ipv4Addr, report: LoadReport) {
     let now = Instant::now();
+    for news in &report.groups {
+        note_group_news(state, news, now);
+    }
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
     let own = state.own_address();
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -79,6 +79,9 @@
     /// Formations that this placer has looked at, to find those that were left held, and when it
     /// first did.
     seen: RefCell<HashMap<GroupName, (u64, Instant)>>,
+    /// Latest formations that this placer has seen broken. The next one of the group starts with
+    /// nothing held, prepared or armed.
+    broken: RefCell<HashMap<GroupName, u64>>,
     draw: u64,
 }
 
@@ -105,6 +108,7 @@
         let Some(table) = state.table() else {
             continue;
         };
+        placer.note_broken(&state);
         for situation in situations(&state, &placer) {
             let rule = table.service(&situation.service);
             let Some(engine) = rule.and_then(|rule| rule.engine) else {
@@ -124,7 +128,8 @@
                 placer.leave(&name);
             }
             let is_new = places && placer.is_first_look(&situation);
-            if is_new || is_stalled(&state, &situation) {
+            let is_fresh = is_new && placer.begins_anew(&situation, &experts);
+            if (is_new && !is_fresh) || is_stalled(&state, &situation) {
                 busy.set(true);
                 tokio::task::spawn_local(async move {
                     let freeing = free_if_held(&placer, &situation, &experts);
@@ -162,6 +167,35 @@
         true
     }
 
+    /// Notes the formations that are broken.
+    fn note_broken(&self, state: &GatewayState) {
+        let roster = state.roster.borrow();
+        let mut broken = self.broken.borrow_mut();
+        broken.retain(|name, _| roster.groups().contains_key(name));
+        let views = roster.groups().iter().filter(|(_, view)| !view.is_open);
+        broken.extend(views.map(|(name, view)| (name.clone(), view.epoch)));
+    }
+
+    /// Takes over a formation whose beginning this placer has seen, and returns whether it has. Its
+    /// engines deal the experts out in turn, so that its state need not be read first.
+    fn begins_anew(&self, situation: &GroupSituation, experts: &ExpertProfile) -> bool {
+        let broken = self.broken.borrow().get(&situation.name).copied();
+        if broken.is_none_or(|epoch| epoch >= situation.epoch) {
+            return false;
+        }
+        let ranks = situation.engines.ranks();
+        let group = PlacedGroup {
+            epoch: situation.epoch,
+            map: ExpertMap::dealt_in_turn(0, experts.sets, experts.experts, ranks),
+            highest_version: 0,
+            next_review: Instant::now(),
+            demand: DemandWindow::default(),
+        };
+        let mut groups = self.groups.borrow_mut();
+        groups.insert(situation.name.clone(), group);
+        true
+    }
+
     /// Returns the engines of a group at the given targets, with the channels that are kept to
     /// them.
     fn engines<'a>(
@@ -192,7 +226,14 @@
     fn is_settled(&self, situation: &GroupSituation) -> bool {
         let seen = self.seen.borrow();
         let look = seen.get(&situation.name);
-        look.is_some_and(|(_, at)| at.elapsed() >= TAKEOVER_PAUSE)
+        look.is_some_and(|(_, at)| at.elapsed() >= TAKEOVER_PAUSE) || self.has_first_map(situation)
+    }
+
+    /// Returns whether a formation whose beginning this placer has seen still has its first map.
+    fn has_first_map(&self, situation: &GroupSituation) -> bool {
+        let groups = self.groups.borrow();
+        let group = groups.get(&situation.name);
+        group.is_some_and(|group| group.epoch == situation.epoch && group.map.version() == 0)
     }
 }
 
@@ -289,10 +330,13 @@
     if known.is_some_and(|group| now < group.next_review) {
         return false;
     }
-    let Some(pause) = state.mean_pause(&situation.name) else {
-        return false;
-    };
-    pass_is_slow(engine, &situation.load(table), pause)
+    let load = situation.load(table);
+    if known.is_some_and(|group| group.epoch == situation.epoch && group.map.version() == 0) {
+        return load.endangers_pauses(engine);
+    }
+    state
+        .mean_pause(&situation.name)
+        .is_some_and(|pause| pass_is_slow(engine, &load, pause))
 }
 
 /// Samples the demand for experts and changes the map if that helps.
@@ -338,9 +382,11 @@
     let known_version = map.version();
     let next_pass = async {
         let statuses = first_statuses(engines, HOLDING_RANKS).await?;
+        let pause = state.mean_pause(&situation.name);
         let pace = PassPace {
             report_age: engine.report_age,
-            pause: state.mean_pause(&situation.name)?,
+            // In a new formation no pause may have been seen yet.
+            pause: pause.unwrap_or_else(|| situation.load(table).first_map_pass(engine)),
             is_lossy: engines.tally().unanswered > 0,
         };
         pass_to_hold(&statuses, known_version, &pace)
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -248,7 +248,6 @@
             service: self.service.clone(),
             entry: self.line_entry(),
             tried: self.tried.clone(),
-            can_return: self.can_return(),
         };
         let lease = match admission::acquire(&self.state, request).await {
             Ok(lease) => lease,
@@ -286,7 +285,7 @@
     fn can_return(&self) -> bool {
         let route = &self.matched.route;
         let patience = self.caller.patience.unwrap_or(route.timeout);
-        self.arrivals == 0 && patience >= route.timeout.mul_f64(FIRST_TRY_PATIENCE)
+        self.runs == 0 && patience >= route.timeout.mul_f64(FIRST_TRY_PATIENCE)
     }
 
     fn line_entry(&self) -> LineEntry {
@@ -302,6 +301,8 @@
             on_time_until: self.arrived + route.objective.saturating_sub(reserve),
             start_until: patience_end - reserve.min(route.objective),
             arrived_at: self.arrived,
+            deadline: self.deadline,
+            can_return: self.can_return(),
         }
     }
 
@@ -385,9 +386,9 @@
                 .zip(faulty)
                 .is_some_and(|(entry, faulty)| !entry.is_named(faulty))
         };
-        if names_another {
-            self.state.note_broken_group(key);
-        } else if error.blames_target {
+        let is_rejection = error.failure == AttemptFailure::NotRun && error.faulty_target.is_some();
+        let shows_break = is_rejection && self.state.note_rejection(key, names_another, now);
+        if !shows_break && error.blames_target {
             self.state.record_failure(key, now);
         }
     }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -12,12 +12,12 @@
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            GroupLoad, PeerTable, RetryAllowance, RosterChange, RouteRule, RouteTable, TargetEntry,
-            TargetKey, TargetRoster,
+            DatedView, GroupLoad, PeerTable, RetryAllowance, RosterChange, RouteRule, RouteTable,
+            TargetEntry, TargetKey, TargetRoster,
         },
         events::LogEvent::{
-            GroupChanged, TableApplied, TableOutdated, TargetEjected, TargetHeldOff, TargetLeft,
-            TargetListed,
+            GroupChanged, GroupForming, TableApplied, TableOutdated, TargetEjected, TargetHeldOff,
+            TargetLeft, TargetListed,
         },
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
@@ -41,6 +41,9 @@
 /// Time after its start from which on a gateway is preferred as a placer.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 
+/// Source of news that this gateway has read from the report of a rank.
+pub const REPORT_SOURCE: &str = "report";
+
 /// Shared state of a gateway.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -74,6 +77,8 @@
     pub peers: RefCell<PeerTable>,
     /// Whether the next load report names the known gateways, because a new one has reported.
     pub gossips: Cell<bool>,
+    /// Notified when peers should hear about a group at once.
+    pub group_news: Notify,
     /// Configuration document in force, for peers that cannot reach the store.
     pub document: RefCell<Bytes>,
     /// Bounds on the requests of model groups.
@@ -119,6 +124,7 @@
             list_failures: Cell::new(0),
             peers: RefCell::default(),
             gossips: Cell::new(false),
+            group_news: Notify::new(),
             document: RefCell::default(),
             bounds: RefCell::default(),
             started_at: Instant::now(),
@@ -200,10 +206,39 @@
         }
     }
 
-    /// Notes that an answer has shown that the group of a target misses a rank.
-    pub fn note_broken_group(&self, key: TargetKey) {
-        let changes = self.roster.borrow_mut().note_broken_group(key);
+    /// Notes that a rank has rejected a request, which may show that its group misses a rank;
+    /// returns whether the group counts as broken now.
+    pub fn note_rejection(&self, key: TargetKey, names_another: bool, now: Instant) -> bool {
+        let mut roster = self.roster.borrow_mut();
+        let seat = roster
+            .get(key)
+            .and_then(|target| target.entry.group.as_ref());
+        let pass = seat.and_then(|seat| self.mean_pause(&seat.name));
+        let changes = roster.note_rejection(key, names_another, pass, now);
+        let is_broken = roster.get(key).is_some_and(|target| !target.group_runs);
+        drop(roster);
         self.note_changes(&changes, "answer");
+        is_broken
+    }
+
+    /// Notes that all ranks of a broken group answer again.
+    pub fn note_forming_group(&self, name: &GroupName) {
+        let mut roster = self.roster.borrow_mut();
+        roster.note_forming_group(name, Instant::now());
+        log_event!(GroupForming, group = name);
+    }
+
+    /// Notes what a report of a rank or a peer says about a group.
+    pub fn note_group_view(&self, name: &GroupName, dated: DatedView, source: &'static str) {
+        let now = Instant::now();
+        let mut roster = self.roster.borrow_mut();
+        let changes = roster.note_group_view(name, dated, now);
+        drop(roster);
+        // What a peer tells has reached the others from it.
+        if source == REPORT_SOURCE && !changes.is_empty() {
+            self.group_news.notify_one();
+        }
+        self.note_changes(&changes, source);
     }
 
     /// Notes what the head of an answer says about new work for its target.
@@ -436,7 +471,7 @@
         if let Some(target) = roster.get_mut(key) {
             target.health.record_success(Instant::now());
         }
-        let changes = roster.note_running_group(key);
+        let changes = roster.note_running_group(key, Instant::now());
         drop(roster);
         self.note_changes(&changes, "answer");
     }
