Keep a tenth of a group's bound for requests that can be on time

They do so within the line of a gateway only: of 16 gateways some have only late requests waiting, and these take the room that the others need.

Change: requests that can no longer be on time start up to nine tenths of the bound.

--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -35,12 +35,23 @@
 /// Prompts that a group reads in one pass at most, for each rank. At a usual load it is a quarter.
 const PROMPTS_PER_RANK: f64 = 0.4;
 
+/// Share of the bound up to which requests start that can no longer be on time.
+const LATE_SHARE: f64 = 0.9;
+
 /// Factor by which a gateway may exceed its share of the starts.
 const SHARE_SLACK: f64 = 1.3;
 
 /// Starts that a gateway may make at once after a quiet time.
 const BURST_STARTS: f64 = 2.0;
 
+/// Returns the bound for requests that can no longer be on time.
+///
+/// Load pattern: a load at the capacity, spread over many gateways. Without a reserve, gateways at
+/// which only late requests wait take the room that others need for those that can be on time.
+pub fn late_limit(limit: u32) -> u32 {
+    (f64::from(limit) * LATE_SHARE) as u32
+}
+
 /// Pace at which one gateway starts requests in a group.
 ///
 /// Load pattern: requests that wait at many gateways. When the bound rises, all gateways see room
--- a/crates/core/src/dispatch/waiting_line.rs
+++ b/crates/core/src/dispatch/waiting_line.rs
@@ -76,6 +76,12 @@
         self.places.is_empty()
     }
 
+    /// Returns whether a waiting request can no longer be on time.
+    pub fn is_late(&self, key: LineKey, now: Instant) -> bool {
+        let place = self.places.get(key);
+        place.is_some_and(|place| place.entry.on_time_until < now)
+    }
+
     /// Returns the waiting requests.
     pub fn entries(&self) -> impl Iterator<Item = (LineKey, &LineEntry)> {
         self.places.iter().map(|(key, place)| (key, &place.entry))
--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -1,12 +1,14 @@
 //! Replays the loads at which waiting, bounding and placing decide what callers get.
 
 use {
+    rand::{RngExt, SeedableRng, rngs::StdRng},
     sassafrasslip_core::{
         dispatch::{
             EngineProfile, EventSplitter, ExpertProfile, GroupLoad, LineEntry, PassGovernor,
             StartPacer, WaitingLine,
             demand_window::DemandWindow,
             map_plan::{PassLoad, pass_is_slow, plan_change, tolerated_excess},
+            pass_governor::late_limit,
         },
         placement::{ExpertCounts, ExpertMap, step_load},
     },
@@ -307,6 +309,57 @@
     );
 }
 
+/// Share of the requests that start in time when sixteen gateways with a line each bring 1.05 times
+/// what a group bears.
+fn share_on_time(limit_for_late: impl Fn(u32) -> u32) -> f64 {
+    const GATEWAYS: usize = 16;
+    const LIMIT: u32 = 160;
+    let stream = Duration::from_millis(2_000);
+    let begin = Instant::now();
+    let mut random = StdRng::seed_from_u64(5);
+    let mut lines: Vec<_> = (0..GATEWAYS).map(|_| WaitingLine::default()).collect();
+    let mut ends: Vec<Instant> = Vec::new();
+    let (mut asked, mut on_time) = (0, 0);
+    for step in 0_u64..4_000 {
+        let now = begin + Duration::from_millis(step * 5);
+        ends.retain(|end| *end > now);
+        // 84 requests a second, where 80 end.
+        if random.random_bool(0.42) {
+            lines[random.random_range(0..GATEWAYS)].push(entry(now, 0, 1));
+            asked += 1;
+        }
+        let first = random.random_range(0..GATEWAYS);
+        for gateway in 0..GATEWAYS {
+            let line = &mut lines[(first + gateway) % GATEWAYS];
+            for key in line.order(now) {
+                let is_late = line.is_late(key, now);
+                let limit = if is_late {
+                    limit_for_late(LIMIT)
+                } else {
+                    LIMIT
+                };
+                if (ends.len() as u32) < limit {
+                    line.start(key, now);
+                    ends.push(now + stream.mul_f64(random.random_range(0.5..1.5)));
+                    on_time += u32::from(!is_late);
+                }
+            }
+            line.refuse_hopeless(now);
+        }
+    }
+    f64::from(on_time) / f64::from(asked)
+}
+
+/// The capacity is 0.95 of the load; nine tenths of it should go to requests that are on time.
+#[test]
+fn late_requests_leave_room_for_those_on_time_at_other_gateways() {
+    const TARGET: f64 = 0.9 * 0.95;
+    let share = share_on_time(late_limit);
+    assert!(share >= TARGET, "{share}");
+    let without = share_on_time(|limit| limit);
+    assert!(without < TARGET, "{without}");
+}
+
 #[test]
 fn window_grows_while_samples_agree_and_starts_anew_after_a_shift() {
     let counts = |demand: &ExpertCounts, factor: f64| -> Vec<u64> {
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -261,7 +261,8 @@
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
 ) -> Option<ServiceObstacle> {
     for key in line.line.order(now) {
-        let group_limits = state.bounds.borrow_mut().limits(now);
+        let is_late = line.line.is_late(key, now);
+        let group_limits = state.bounds.borrow_mut().limits(now, is_late);
         let tried = line.waiters.get(key).map(|waiter| waiter.tried.as_slice());
         let input = ChoiceInput {
             service,
--- a/crates/daemon/src/gateway/group_bounds.rs
+++ b/crates/daemon/src/gateway/group_bounds.rs
@@ -2,7 +2,7 @@
 
 use {
     sassafrasslip_core::{
-        dispatch::{EngineProfile, GroupLoad, PassGovernor, StartPacer},
+        dispatch::{EngineProfile, GroupLoad, PassGovernor, StartPacer, pass_governor::late_limit},
         events::LogEvent::GroupBounded,
         ids::GroupName,
         log_event,
@@ -58,11 +58,14 @@
         }
     }
 
-    /// Returns the bounds of groups, which are zero for groups in which this gateway may not start
+    /// Returns the bounds of groups for a request that can or cannot be on time any more, which are zero for groups in which this gateway may not start
     /// a request yet.
-    pub fn limits(&mut self, now: Instant) -> HashMap<GroupName, u32> {
+    pub fn limits(&mut self, now: Instant, is_late: bool) -> HashMap<GroupName, u32> {
         let bounds = self.groups.iter_mut().filter_map(|(name, bound)| {
-            let limit = bound.governor.limit()?;
+            let mut limit = bound.governor.limit()?;
+            if is_late {
+                limit = late_limit(limit);
+            }
             let limit = if bound.pacer.allows(now) { limit } else { 0 };
             Some((name.clone(), limit))
         });
