Prepare maps for two passes at least, and let lists overtake what is known of groups

Cause, found by going through the hand-over between two placers: model/map_switch.pml assumes that loading outlasts the passes between an estimate and the pass that is held. A second placer could hold a pass that the first had held and not yet released, and the late release of the first let it begin with ranks that were not armed (SHORT_LOADING finds it).

The second: formations are merged by their number. A group whose ranks are all replaced may count from the start; views of its former formations would have closed it for good.

Change: the time between preparing a map and the look at the ranks is two passes at least, four while orders go unanswered. What reports, peers and rejections have shown is forgotten when a list read 5 s later is known.

The order of steps is what keeps the maps the same, so that it stays.

Tests: check_preparation in map_switch.rs, list_overtakes_what_was_known_of_former_formations in group_outage.rs.

--- a/crates/core/src/dispatch/group_watch.rs
+++ b/crates/core/src/dispatch/group_watch.rs
@@ -28,6 +28,11 @@
 /// Ranks report what was some hundred milliseconds ago.
 const DOUBT_TIME: Duration = Duration::from_millis(400);
 
+/// Time after which the instance list has overtaken what reports, peers and rejections have shown: a
+/// heartbeat, the lag of the list and an interval of reading fit into it twice. A group whose ranks
+/// have all been replaced may count its formations from the start again.
+const OVERTAKEN_AFTER: Duration = Duration::from_secs(5);
+
 /// Time for which peers are told what a report has shown. Datagrams may be lost; the instance list
 /// shows the same by then.
 const NEWS_TIME: Duration = Duration::from_secs(3);
@@ -180,6 +185,18 @@
         view
     }
 
+    /// Forgets what a list that was read at `listed_at` has overtaken.
+    pub fn yield_to_list(&mut self, listed_at: Instant) {
+        for known in self.formations.values_mut() {
+            let is_overtaken = |since: Instant| listed_at >= since + OVERTAKEN_AFTER;
+            known.latest.take_if(|(_, since)| is_overtaken(*since));
+            known.doubt.take_if(|doubt| is_overtaken(doubt.since));
+            if known.latest.is_none() {
+                known.forming = None;
+            }
+        }
+    }
+
     /// Forgets the groups that are no longer listed.
     pub fn retain(&mut self, is_listed: impl Fn(&GroupName) -> bool) {
         self.formations.retain(|name, _| is_listed(name));
--- a/crates/core/src/dispatch/rank_status.rs
+++ b/crates/core/src/dispatch/rank_status.rs
@@ -69,6 +69,26 @@
     pub is_lossy: bool,
 }
 
+impl PassPace {
+    /// Returns the time between preparing a map and the look at the ranks after which a pass is
+    /// held, where experts are loaded for `loading`.
+    ///
+    /// A pass that another placer has held and released must have begun by the look
+    /// (`SHORT_LOADING` in `model/map_switch.pml`). Preparing voids what that placer has not armed,
+    /// so it held that pass before, and at most the margin ahead of the one that ran.
+    pub fn preparation_time(&self, loading: Duration) -> Duration {
+        loading.max(self.pause.max(LEAST_PAUSE) * (self.margin() as u32 + 1))
+    }
+
+    const fn margin(&self) -> u64 {
+        if self.is_lossy {
+            LOSSY_PASS_MARGIN
+        } else {
+            PASS_MARGIN
+        }
+    }
+}
+
 /// Returns the pass that a placer holds for its change; `None` if another map than `version` is in
 /// use, or if a rank still holds a pass. Its placer may release that pass while this one arms the
 /// ranks (`HOLD_OVER_HELD` in `model/map_switch.pml`).
@@ -81,10 +101,5 @@
     }
     let pause = pace.pause.max(LEAST_PAUSE);
     let since = (pace.report_age.as_secs_f64() / pause.as_secs_f64()).ceil();
-    let margin = if pace.is_lossy {
-        LOSSY_PASS_MARGIN
-    } else {
-        PASS_MARGIN
-    };
-    Some(first.pass + since as u64 + margin)
+    Some(first.pass + since as u64 + pace.margin())
 }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -275,6 +275,7 @@
             self.apply_entry(entry, now, &mut changes);
         }
         self.listed_at = Some(now);
+        self.watch.yield_to_list(now);
         self.notices
             .retain(|_, kept| now < kept.kept_at + NOTICE_MEMORY);
         let regained_at = self.regained_at.filter(|at| now < *at + LAPSE_GRACE);
--- a/crates/core/tests/group_outage.rs
+++ b/crates/core/tests/group_outage.rs
@@ -138,6 +138,25 @@
     later_report_of_a_broken_group_confirms_it: ((800, 1, false), false);
 }
 
+/// All ranks of a group are replaced, and its formations are counted from the start again. What was
+/// known about the former ones must not keep such a group closed for good.
+#[test]
+fn list_overtakes_what_was_known_of_former_formations() {
+    let start = Instant::now();
+    let mut roster = roster(start, start);
+    let list = || (0..3).map(|number| rank(number, 1)).collect();
+    roster.note_group_view(&group(), dated(7, false, start), start);
+    let soon = start + milliseconds(2_000);
+    roster.apply(list(), soon);
+    assert!(matches!(
+        choose(&roster, soon),
+        TargetChoice::GroupBroken(_)
+    ));
+    let later = start + milliseconds(6_000);
+    roster.apply(list(), later);
+    assert!(matches!(choose(&roster, later), TargetChoice::Chosen(_)));
+}
+
 /// News of several gateways arrive in any order.
 #[test]
 fn views_may_be_merged_in_any_order() {
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -543,3 +543,22 @@
     two_placers_that_freeze: (0.0, 0.05, 200);
     two_placers_with_late_orders_and_freezes: (0.2, 0.03, 300);
 }
+
+fn check_preparation(loading_ms: u64, pause_ms: u64, is_lossy: bool, expected_ms: u64) {
+    let pace = PassPace {
+        report_age: Duration::from_millis(200),
+        pause: Duration::from_millis(pause_ms),
+        is_lossy,
+    };
+    let time = pace.preparation_time(Duration::from_millis(loading_ms));
+    assert_eq!(time, Duration::from_millis(expected_ms));
+}
+
+// Small experts load within a pass. A pass that another placer has held and released may then not
+// have begun when this one holds it again, and that placer's late release lets it begin.
+test_cases! {
+    fn check_preparation(loading_ms: u64, pause_ms: u64, is_lossy: bool, expected_ms: u64);
+    small_experts_wait_for_the_pass_of_another_placer: (75, 110, false, 220);
+    lost_orders_wait_for_passes_further_ahead: (75, 110, true, 440);
+    large_experts_outlast_the_passes: (440, 110, false, 440);
+}
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -35,7 +35,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::{Instant, sleep, timeout},
+    tokio::time::{Instant, sleep, sleep_until, timeout},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -383,22 +383,28 @@
     let planned = planned.with_version(version);
     let loading = experts.load_time * u32::try_from(figures.loads_per_rank).unwrap_or(u32::MAX);
     let known_version = map.version();
+    let prepared_at = Instant::now();
+    let pace = || PassPace {
+        report_age: engine.report_age,
+        // In a new formation no pause may have been seen yet.
+        pause: state
+            .mean_pause(&situation.name)
+            .unwrap_or_else(|| situation.load(table).first_map_pass(engine)),
+        is_lossy: engines.tally().unanswered > 0,
+    };
+    let loading_time = loading + LOADING_MARGIN;
     let next_pass = async {
+        // Orders that went unanswered call for more time than was reckoned with.
+        let pace = pace();
+        sleep_until(prepared_at + pace.preparation_time(loading_time)).await;
         let statuses = first_statuses(engines, HOLDING_RANKS).await?;
-        let pause = state.mean_pause(&situation.name);
-        let pace = PassPace {
-            report_age: engine.report_age,
-            // In a new formation no pause may have been seen yet.
-            pause: pause.unwrap_or_else(|| situation.load(table).first_map_pass(engine)),
-            is_lossy: engines.tally().unanswered > 0,
-        };
         pass_to_hold(&statuses, known_version, &pace)
     };
     let result = switch_map(
         engines,
         Arc::new(planned.clone()),
         Arc::new(map.with_version(fallback_version)),
-        loading + LOADING_MARGIN,
+        pace().preparation_time(loading_time),
         next_pass,
     )
     .await;
