Prepare maps for longer only where another placer may act

They are needed only where two placers may act at once: after a hand-over, or while a peer that may still go on with a change is silent, frozen, suspended or new.

Change: peers are steady once all of the last 12 s have been heard for 3 s without a gap in time or in the numbers of their reports (the clock of a suspended instance does not show what it has missed). A placer of 3 s among steady peers prepares for as long as loading takes; any other waits for two passes and the age of a report at least. What is left: a peer that hears none of the others while they hear it. A placer that finds that no rank has begun a change takes over without a pause; 0.5 s after a start a gateway may place.

--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -16,6 +16,10 @@
 /// Reports of a peer that are missing when it counts as silent, if it reports more slowly.
 const MISSED_REPORTS: u32 = 3;
 
+/// Interval of reports within the availability zone, and time between two numbers of reports.
+/// Gateways of a zone fill the same targets.
+pub const ZONE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval of reports to other availability zones, whose bytes are priced.
 const REMOTE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -26,6 +30,10 @@
 /// Longest interval of reports to other availability zones. Loads that are older would mislead.
 const LONGEST_REMOTE_INTERVAL: Duration = Duration::from_millis(1200);
 
+/// Time for which all peers must have been heard without a gap before a placer may take it that no
+/// other one acts. A placer that was frozen or cut off ends or notices what it had begun by then.
+pub const STEADY_AFTER: Duration = Duration::from_secs(3);
+
 /// Time for which a silent peer still counts as a sharer of the retry budget. It may only be cut
 /// off from here while it goes on sending to targets.
 const SHARER_MEMORY: Duration = Duration::from_secs(12);
@@ -59,6 +67,8 @@
 struct Peer {
     report: PeerReport,
     heard_at: Instant,
+    /// Since when it has been heard without a gap.
+    steady_since: Instant,
 }
 
 /// Known gateways.
@@ -88,13 +98,15 @@
         if is_known && known.is_some_and(|peer| peer.report.sequence >= report.sequence) {
             return false;
         }
-        self.peers.insert(
-            address,
-            Peer {
-                report,
-                heard_at: now,
-            },
-        );
+        let steady_since =
+            known.filter(|peer| is_known && is_live(peer, now) && follows(&peer.report, &report));
+        let steady_since = steady_since.map_or(now, |peer| peer.steady_since);
+        let peer = Peer {
+            report,
+            heard_at: now,
+            steady_since,
+        };
+        self.peers.insert(address, peer);
         !is_known
     }
 
@@ -188,6 +200,16 @@
         1 + u32::try_from(sharers.count()).unwrap_or(u32::MAX - 1)
     }
 
+    /// Returns whether all gateways that may act now have been heard for some time without a gap, so
+    /// that all of them know which one places experts.
+    pub fn is_steady(&self, now: Instant) -> bool {
+        let mut sharers = self
+            .peers
+            .values()
+            .filter(|peer| now < peer.heard_at + SHARER_MEMORY);
+        sharers.all(|peer| is_live(peer, now) && now >= peer.steady_since + STEADY_AFTER)
+    }
+
     /// Returns what live peers have in flight.
     pub fn loads(&self, now: Instant) -> impl Iterator<Item = PeerLoad> {
         let live = self.peers.values().filter(move |peer| is_live(peer, now));
@@ -200,6 +222,15 @@
     now < peer.heard_at + SILENCE_LIMIT.max(interval * MISSED_REPORTS)
 }
 
+/// Returns whether no more reports are missing between two than a live peer may leave out. The clock
+/// of an instance that was suspended does not show the time that it has missed; the numbers do.
+fn follows(known: &PeerReport, report: &PeerReport) -> bool {
+    let interval = known.interval.min(LONGEST_REMOTE_INTERVAL);
+    let silence = SILENCE_LIMIT.max(interval * MISSED_REPORTS);
+    let most = silence.as_millis() / ZONE_INTERVAL.as_millis();
+    u128::from(report.sequence.saturating_sub(known.sequence)) <= most
+}
+
 /// Returns the interval of reports to `peers` gateways in other availability zones.
 ///
 /// Load pattern: hundreds of gateways, each of which reports to all others. The bytes between zones
--- a/crates/core/src/dispatch/rank_status.rs
+++ b/crates/core/src/dispatch/rank_status.rs
@@ -34,6 +34,12 @@
 }
 
 impl RankStatus {
+    /// Returns whether the rank has loaded, armed or held something for a change.
+    pub fn takes_part_in_change(&self) -> bool {
+        let has_loaded = self.prepared.is_some_and(|prepared| prepared != self.map);
+        has_loaded || self.armed.is_some() || self.held.is_some()
+    }
+
     /// Returns the highest version that the rank is known to have had.
     pub fn highest_version(&self) -> u64 {
         let loaded = self.prepared.unwrap_or(0);
@@ -73,11 +79,15 @@
     /// Returns the time between preparing a map and the look at the ranks after which a pass is
     /// held, where experts are loaded for `loading`.
     ///
-    /// A pass that another placer has held and released must have begun by the look
-    /// (`SHORT_LOADING` in `model/map_switch.pml`). Preparing voids what that placer has not armed,
-    /// so it held that pass before, and at most the margin ahead of the one that ran.
-    pub fn preparation_time(&self, loading: Duration) -> Duration {
-        loading.max(self.pause.max(LEAST_PAUSE) * (self.margin() as u32 + 1))
+    /// A placer that may not be the only one waits until reports show the pass that another one
+    /// held before, and until such a pass has begun if it was released (`SHORT_LOADING` in
+    /// `model/map_switch.pml`). Small experts load in less time.
+    pub fn preparation_time(&self, loading: Duration, is_only_placer: bool) -> Duration {
+        if is_only_placer {
+            return loading;
+        }
+        let passes = self.pause.max(LEAST_PAUSE) * (self.margin() as u32 + 1);
+        loading.max(passes).max(self.report_age)
     }
 
     const fn margin(&self) -> u64 {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -13,7 +13,7 @@
         dispatch::{
             DatedView, GroupNews, GroupSeat, GroupView, PeerReport, TargetEntry, TargetRoster,
             TargetState,
-            peer_table::{PeerLoad, remote_interval},
+            peer_table::{PeerLoad, ZONE_INTERVAL, remote_interval},
         },
         events::LogEvent::{FrameDropped, PeerChanged},
         ids::GroupName,
@@ -42,9 +42,6 @@
 /// Result of asking a peer.
 pub type Result<T> = result::Result<T, Report<PeerError>>;
 
-/// Interval of reports within the availability zone. Gateways of a zone fill the same targets.
-const ZONE_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Reports within the zone after which one is sent although nothing is in flight.
 const REPORTS_PER_HEARTBEAT: u64 = 5;
 
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -20,7 +20,9 @@
             demand_window::DemandWindow,
             map_plan::{PassLoad, PlanFigures, pass_is_slow, plan_change, tolerated_excess},
             map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS, version_after},
-            pass_to_hold, switch_map,
+            pass_to_hold,
+            peer_table::STEADY_AFTER,
+            switch_map,
         },
         events::LogEvent::{MapPlanned, MapSwitched},
         ids::{GroupName, ServiceName},
@@ -50,10 +52,10 @@
 
 /// Time after the start in which a gateway places nothing. It hears of its peers meanwhile; without
 /// them it would take itself for the placer of every group.
-const START_PAUSE: Duration = Duration::from_millis(800);
+const START_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time for which a placer only looks at a formation that is new to it. The placer before it may
-/// be in the middle of a change.
+/// Time for which a placer only looks at a formation that is new to it, unless no rank has loaded,
+/// armed or held anything. The placer before it may be in the middle of a change.
 const TAKEOVER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Time that freeing a group may take.
@@ -136,6 +138,9 @@
                     if timeout(FREE_LIMIT, freeing).await.is_err() {
                         log::warn!("freeing group {} took too long", situation.name);
                     }
+                    if is_new && is_idle(&situation.engines).await {
+                        placer.note_idle(&situation);
+                    }
                     busy.set(false);
                 });
             } else if places
@@ -222,11 +227,26 @@
         self.groups.borrow_mut().remove(name);
     }
 
+    /// Notes that no placer is in the middle of a change of a formation, so that this one need not
+    /// wait.
+    fn note_idle(&self, situation: &GroupSituation) {
+        let settled_since = Instant::now().checked_sub(TAKEOVER_PAUSE);
+        if let Some(since) = settled_since {
+            let look = (situation.epoch, since);
+            self.seen.borrow_mut().insert(situation.name.clone(), look);
+        }
+    }
+
     /// Returns whether this placer has known a formation long enough to change its map.
     fn is_settled(&self, situation: &GroupSituation) -> bool {
+        self.has_placed_for(situation, TAKEOVER_PAUSE) || self.has_first_map(situation)
+    }
+
+    /// Returns whether this placer has known a formation for some time.
+    fn has_placed_for(&self, situation: &GroupSituation, time: Duration) -> bool {
         let seen = self.seen.borrow();
         let look = seen.get(&situation.name);
-        look.is_some_and(|(_, at)| at.elapsed() >= TAKEOVER_PAUSE) || self.has_first_map(situation)
+        look.is_some_and(|(_, at)| at.elapsed() >= time)
     }
 
     /// Returns whether a formation whose beginning this placer has seen still has its first map.
@@ -393,10 +413,13 @@
         is_lossy: engines.tally().unanswered > 0,
     };
     let loading_time = loading + LOADING_MARGIN;
+    let is_only_placer = placer.has_placed_for(situation, STEADY_AFTER)
+        && state.peers.borrow().is_steady(prepared_at);
     let next_pass = async {
         // Orders that went unanswered call for more time than was reckoned with.
         let pace = pace();
-        sleep_until(prepared_at + pace.preparation_time(loading_time)).await;
+        let time = pace.preparation_time(loading_time, is_only_placer);
+        sleep_until(prepared_at + time).await;
         let statuses = first_statuses(engines, HOLDING_RANKS).await?;
         pass_to_hold(&statuses, known_version, &pace)
     };
@@ -404,7 +427,7 @@
         engines,
         Arc::new(planned.clone()),
         Arc::new(map.with_version(fallback_version)),
-        pace().preparation_time(loading_time),
+        pace().preparation_time(loading_time, is_only_placer),
         next_pass,
     )
     .await;
@@ -498,6 +521,12 @@
     statuses.into_iter().collect()
 }
 
+/// Returns whether no rank reports a change that has begun.
+async fn is_idle(engines: &GroupEngines) -> bool {
+    let statuses = first_statuses(engines, engines.ranks()).await;
+    statuses.is_some_and(|statuses| !statuses.iter().any(RankStatus::takes_part_in_change))
+}
+
 /// Returns a version that is higher than all known ones and unique to this placer.
 fn next_version(placer: &Placer, name: &GroupName) -> Option<u64> {
     let mut groups = placer.groups.borrow_mut();
