--- a/crates/core/tests/group_outage.rs
+++ b/crates/core/tests/group_outage.rs
@@ -206,7 +206,7 @@
     gateway_that_has_seen_no_event_yet_knows_no_silence: (None, 70, false);
 }
 
-/// One gateway of a zone asks all ranks; the others wait for its word, but not with a doubt of
+/// One gateway of a zone asks all ranks; the others wait for its news, but not with a doubt of
 /// their own that no report has confirmed.
 #[test]
 fn doubt_is_looked_into_until_a_report_confirms_it() {
