Sample the demand for experts for a whole pass, each rank equally

Cause: on the shifted deployment a pass lasts up to 160 ms after a shift, and a sample of 100 ms often contains no choice, so that the review waited for another 500 ms. A prompt read during the sample has ten times the tokens of all answers at the sampled ranks, although it takes the engine less time, so that two samples of one demand differed by up to 0.4 and some shifts (0.548 for a distance of 0.55) were taken for none.

--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -431,31 +431,76 @@
     assert!(reading_ms <= 60.0, "{fullest} prompts, {reading_ms} ms");
 }
 
-#[test]
-fn window_grows_while_samples_agree_and_is_reset_after_a_shift() {
-    let counts = |demand: &ExpertCounts, factor: f64| -> Vec<u64> {
-        demand
-            .tokens()
-            .iter()
-            .map(|tokens| (tokens * factor) as u64)
-            .collect()
+/// Running counts of two ranks, to which samples are added.
+#[derive(Clone)]
+struct RunningCounts([Vec<u64>; 2]);
+
+impl RunningCounts {
+    fn new() -> Self {
+        Self([const { Vec::new() }; 2].map(|_: Vec<u64>| vec![0; SETS * EXPERTS]))
+    }
+
+    /// Adds the demand of the requests at a rank, scaled to `tokens` in all.
+    fn add(&mut self, rank: usize, demand: &ExpertCounts, tokens: f64) {
+        let factor = tokens / demand.total();
+        for (count, more) in self.0[rank].iter_mut().zip(demand.tokens()) {
+            *count += (more * factor) as u64;
+        }
+    }
+}
+
+fn observe(window: &mut DemandWindow, start: &RunningCounts, end: &RunningCounts) -> ExpertCounts {
+    let start = start.0.to_vec();
+    window.observe(SETS, EXPERTS, start, &end.0).unwrap()
+}
+
+/// Returns the skew that the demand `actual` causes with a map that is planned for `planned_for`.
+fn skew_when_planned_for(planned_for: &ExpertCounts, actual: &ExpertCounts) -> f64 {
+    let small = ExpertProfile {
+        load_time: Duration::from_millis(14),
+        ..experts()
     };
+    let map = ExpertMap::round_robin(0, SETS, EXPERTS, RANKS);
+    let (planned, _) = plan_change(&small, RANKS, &map, planned_for, FULL_LOAD_EXCESS).unwrap();
+    skew(&planned.unwrap_or(map), actual)
+}
+
+/// A sample that shows another demand must not be averaged with the one before, or the map would be
+/// planned for neither.
+#[test]
+fn window_is_reset_after_a_shift() {
+    let (old, new) = (shifted_demand(60), shifted_demand(13));
+    let mut window = DemandWindow::default();
+    let mut counts = RunningCounts::new();
+    for _ in 0..4 {
+        let start = counts.clone();
+        (0..2).for_each(|rank| counts.add(rank, &old, 1e6));
+        observe(&mut window, &start, &counts);
+    }
+    let start = counts.clone();
+    (0..2).for_each(|rank| counts.add(rank, &new, 1e4));
+    let seen = observe(&mut window, &start, &counts);
+    let skew = skew_when_planned_for(&seen, &new);
+    assert!(skew < 1.2, "{skew}");
+}
+
+/// While the demand stays the same, a sample in which a rank reads a prompt for a single request
+/// must neither count as a shift nor dominate the demand. The prompt has ten times the tokens of
+/// the answers that both ranks generate.
+#[test]
+fn prompt_at_one_rank_does_not_dominate_the_demand() {
+    let (demand, topic_of_prompt) = (shifted_demand(60), shifted_demand(70));
     let mut window = DemandWindow::default();
-    let first = shifted_demand(60);
-    let start = counts(&first, 1.0);
-    let mut observe =
-        |start: Vec<u64>, end: Vec<u64>| window.observe(SETS, EXPERTS, start, end).unwrap().total();
-    let short = observe(start, counts(&first, 1.1));
-    let long = observe(counts(&first, 2.0), counts(&first, 2.1));
-    assert!(long > 10.0 * short, "{long} {short}");
-    let base = counts(&first, 2.1);
-    let shifted = counts(&shifted_demand(13), 0.1);
-    let end = base
-        .iter()
-        .zip(&shifted)
-        .map(|(base, more)| base + more)
-        .collect();
-    assert!(observe(base, end) < 1.2 * short);
+    let mut counts = RunningCounts::new();
+    let before = counts.clone();
+    (0..2).for_each(|rank| counts.add(rank, &demand, 1e6));
+    observe(&mut window, &before, &counts);
+    let start = counts.clone();
+    (0..2).for_each(|rank| counts.add(rank, &demand, 1e5));
+    counts.add(0, &topic_of_prompt, 1e6);
+    let seen = observe(&mut window, &start, &counts);
+    let skew = skew_when_planned_for(&seen, &demand);
+    assert!(skew < 1.5, "{skew}");
 }
 
 #[test]
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -408,7 +408,8 @@
     let engines = &*snapshot.engines;
     let started_at = Instant::now();
     let map = current_map(placer, experts, snapshot).await?;
-    let counts = sample(placer, snapshot, experts).await?;
+    let pass = state.mean_pause(&snapshot.name).unwrap_or_default();
+    let counts = sample(placer, snapshot, experts, pass).await?;
     let tolerated = tolerated_excess(engine, &snapshot.load(table));
     let (planned, figures) = plan_change(experts, engines.ranks(), &map, &counts, tolerated)?;
     log_plan(snapshot, &figures, started_at);
--- a/crates/daemon/src/gateway/placer/demand.rs
+++ b/crates/daemon/src/gateway/placer/demand.rs
@@ -6,7 +6,7 @@
 use {
     super::{super::engines::GroupEngines, GroupSnapshot, Placer},
     sassafrasslip_core::{
-        dispatch::{ExpertProfile, RankControl},
+        dispatch::{ExpertProfile, RankControl, demand_window::RankCounts},
         ids::GroupName,
         placement::ExpertCounts,
     },
@@ -15,9 +15,13 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Duration of one sample. A rank makes a few thousand expert choices in that time, enough to show
-/// the hottest experts clearly.
-const SAMPLE_TIME: Duration = Duration::from_millis(100);
+/// Shortest duration of a sample. A rank makes a few thousand expert choices in that time, enough to
+/// show the hottest experts clearly.
+const MIN_SAMPLE_TIME: Duration = Duration::from_millis(100);
+
+/// Duration of a sample in passes. Choices are counted once in each pass, and the duration of passes
+/// varies.
+const SAMPLED_PASSES: f64 = 1.2;
 
 /// Number of ranks that are sampled. Each read of counts from another instance is billed, and two
 /// ranks represent the group because requests are spread evenly over its ranks.
@@ -25,21 +29,22 @@
 
 /// Samples how often the requests on some ranks choose each expert, and returns the counts over the
 /// group's demand window. While the demand does not change, the window reaches back to the sample
-/// that first showed it. Returns `None` if a sampled rank does not answer, if the group is no
+/// that first showed it. `pass` is the duration of a pass. Returns `None` if a sampled rank does not answer, if the group is no
 /// longer tracked, or if the window yields no counts.
 pub(super) async fn sample(
     placer: &Placer,
     snapshot: &GroupSnapshot,
     experts: &ExpertProfile,
+    pass: Duration,
 ) -> Option<ExpertCounts> {
     let engines = &snapshot.engines;
     let ranks = sampled_ranks(&snapshot.name, engines.ranks());
-    let before = read_activations(engines, &ranks).await?;
-    sleep(SAMPLE_TIME).await;
-    let after = read_activations(engines, &ranks).await?;
+    let before = read_counts(engines, &ranks).await?;
+    sleep(MIN_SAMPLE_TIME.max(pass.mul_f64(SAMPLED_PASSES))).await;
+    let after = read_counts(engines, &ranks).await?;
     let mut groups = placer.groups.borrow_mut();
     let window = &mut groups.get_mut(&snapshot.name)?.demand;
-    window.observe(experts.sets, experts.experts, before, after)
+    window.observe(experts.sets, experts.experts, before, &after)
 }
 
 /// Returns the ranks to sample. They depend only on the group's name and size, so that successive
@@ -53,16 +58,11 @@
         .collect()
 }
 
-async fn read_activations(engines: &GroupEngines, ranks: &[usize]) -> Option<Vec<u64>> {
+async fn read_counts(engines: &GroupEngines, ranks: &[usize]) -> Option<Vec<RankCounts>> {
     let activations = ranks.iter().map(|rank| engines.activations(*rank));
     let activations = futures_util::future::join_all(activations).await;
-    let mut sums: Vec<u64> = Vec::new();
-    for activations in activations {
-        let counts = activations?.counts;
-        sums.resize(counts.len(), 0);
-        sums.iter_mut()
-            .zip(counts)
-            .for_each(|(sum, count)| *sum += count);
-    }
-    Some(sums)
+    activations
+        .into_iter()
+        .map(|activations| activations.map(|activations| activations.counts))
+        .collect()
 }
