Limit a group by the pass that the next shift would make

Cause: streams of the shifted deployment last about two seconds and the demand shifts each 3.3 to 4.3 s. Between shifts the limit rose to 500 and more, so that the passes after the next shift, at three times the mean load on the hottest rank, took 160 ms and more for an objective of 150 ms, and nearly all streams under way became late.

Change: the governor keeps the highest skew that explained the passes of the last 10 s, up to that of an unplanned map, and limits the requests so that a pass with it lasts 0.92 of the objective. The duration of a pass is computed in one place (pass_model.rs) for plans and limits.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,6 +12,7 @@
 pub mod map_switch;
 pub mod outage_plan;
 pub mod pass_governor;
+pub mod pass_model;
 pub mod peer_table;
 pub mod rank_status;
 pub mod retry_allowance;
@@ -29,6 +30,7 @@
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     outage_plan::{OutageStep, decide_during_outage},
     pass_governor::{GroupLoad, PassGovernor, StartPacer},
+    pass_model::PassModel,
     peer_table::{PeerReport, PeerTable},
     rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
     retry_allowance::RetryAllowance,
--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -1,7 +1,10 @@
 //! Planning of expert map changes: when a group needs a better map, and which change to make.
 
 use {
-    super::route_table::{EngineProfile, ExpertProfile},
+    super::{
+        pass_model::PassModel,
+        route_table::{EngineProfile, ExpertProfile},
+    },
     crate::placement::{
         ChangeBounds, ExpertCounts, ExpertMap, GroupShape, plan_small_change, step_load,
     },
@@ -14,7 +17,7 @@
 
 /// Skew of the map of a new formation, which assigns the experts to the ranks in turn, under a
 /// usual demand.
-const NEW_FORMATION_SKEW: f64 = 3.0;
+pub const NEW_FORMATION_SKEW: f64 = 3.0;
 
 /// Ratio of the actual to the expected duration above which a pass counts as slow. The duration
 /// varies with the prompts that are read in a pass.
@@ -79,10 +82,8 @@
     /// Returns the expected duration of a pass with the map of a new formation, which was not
     /// planned for any demand.
     pub fn new_formation_pass(&self, engine: &EngineProfile) -> Duration {
-        let skew = engine.experts.map_or(1.0, |experts| {
-            1.0 - experts.share + experts.share * NEW_FORMATION_SKEW
-        });
-        Duration::from_secs_f64(fixed_time(engine) + balanced_time(engine, self.running()) * skew)
+        let model = PassModel::new(engine);
+        Duration::from_secs_f64(model.duration(self.running(), NEW_FORMATION_SKEW))
     }
 
     /// Returns whether passes are expected to be too slow with the map of a new formation. This is
@@ -107,9 +108,9 @@
 /// Returns whether the passes of a group, which last `pause`, take longer than they would with a
 /// good map, and also exceed the acceptable share of the pause objective.
 pub fn pass_is_slow(engine: &EngineProfile, load: &PassLoad, pause: Duration) -> bool {
-    let Some(experts) = engine.experts else {
+    if engine.experts.is_none() {
         return false;
-    };
+    }
     let running = load.running();
     let pause = pause.as_secs_f64();
     if running < MIN_LOAD
@@ -119,8 +120,9 @@
     {
         return false;
     }
-    let skew = 1.0 - experts.share + experts.share * PLANNED_MAP_SKEW;
-    pause > fixed_time(engine) + balanced_time(engine, running) * skew * SLOW_FACTOR
+    let model = PassModel::new(engine);
+    let variable = model.duration(running, PLANNED_MAP_SKEW) - model.fixed();
+    pause > model.fixed() + variable * SLOW_FACTOR
 }
 
 /// Returns the excess of the hottest rank over the mean, as a share of the mean, up to which the
@@ -131,26 +133,12 @@
     };
     let slots = f64::from(engine.slots);
     let running = (load.running() * LOAD_MARGIN).clamp(slots * MIN_RUNNING_SHARE, slots);
-    let balanced = balanced_time(engine, running) * experts.share;
-    let spare = acceptable - fixed_time(engine) - balanced_time(engine, running);
+    let model = PassModel::new(engine);
+    let balanced = model.balanced(running) * experts.share;
+    let spare = acceptable - model.duration(running, 1.0);
     (spare / balanced.max(f64::MIN_POSITIVE)).clamp(MIN_EXCESS, 1.0)
 }
 
-/// Returns the part of a pass that does not depend on the running requests, in seconds.
-fn fixed_time(engine: &EngineProfile) -> f64 {
-    engine.step.as_secs_f64() * f64::from(engine.stride)
-}
-
-/// Returns the part of a pass that depends on the running requests, in seconds, if the load is
-/// balanced over the ranks. `running` is the number of requests per rank.
-fn balanced_time(engine: &EngineProfile, running: f64) -> f64 {
-    let stride = f64::from(engine.stride);
-    let generation = engine.step_per_request.as_secs_f64() * stride * running;
-    // Each request reads its prompt once, and generates `stride` tokens of its answer per pass.
-    let passes = (engine.usual_answer_tokens / stride).max(1.0);
-    generation + running / passes * engine.usual_prompt_tokens / engine.read_tokens_per_s
-}
-
 /// Plans a change of the map for the demand in `counts`. The returned map is `None` if no change is
 /// worth its cost, and the whole result is `None` if the planning fails. Layer sets whose hottest
 /// rank exceeds the mean by at most `tolerated_excess`, as a share of the mean, are not changed.
--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -8,14 +8,30 @@
 //! The duration of a pass has a fixed part and a part that grows with the number of running
 //! requests. The fixed part is known from the engine profile, so the measured pauses show how many
 //! requests fit.
+//!
+//! Load pattern: the demand shifts every few seconds, which is about as long as a stream lasts. Until
+//! the map has been changed, passes are several times as long, and a single one above the objective
+//! makes all streams late that run at that time. The limit therefore also keeps the passes after the
+//! next shift within the objective, with the skew of the latest ones.
 
-use {super::route_table::EngineProfile, std::time::Duration, tokio::time::Instant};
+use {
+    super::{map_plan::NEW_FORMATION_SKEW, pass_model::PassModel, route_table::EngineProfile},
+    std::time::Duration,
+    tokio::time::Instant,
+};
 
 /// Share of the pause objective at which the mean pause is kept. A single pause above the
 /// objective, out of some thirty, makes a stream late, and pauses vary with the prompts that are
 /// read in between.
 const PAUSE_TARGET_SHARE: f64 = 0.74;
 
+/// Share of the pause objective up to which a pass may last after a shift of the demand.
+const SHIFT_PASS_SHARE: f64 = 0.92;
+
+/// Time for which the skew of a shift is expected to come back. Demands that shift do so every three
+/// to four seconds.
+const SHIFT_MEMORY: Duration = Duration::from_secs(10);
+
 /// Interval at which the limit is recomputed, about the duration of a pass.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -106,6 +122,8 @@
     pauses: u32,
     updated_at: Option<Instant>,
     mean_pause: Option<f64>,
+    /// Highest skew that has explained the passes lately, and when it did.
+    peak_skew: Option<(f64, Instant)>,
 }
 
 /// Load and objective of a group, on which its limit depends.
@@ -134,6 +152,7 @@
             pauses: 0,
             updated_at: None,
             mean_pause: None,
+            peak_skew: None,
         }
     }
 
@@ -159,13 +178,16 @@
         (self.pause_sum, self.pauses) = (0.0, 0);
         self.updated_at = Some(now);
         self.mean_pause = Some(pause);
-        let fixed = engine.step.as_secs_f64() * f64::from(engine.stride);
+        let model = PassModel::new(engine);
+        let fixed = model.fixed();
         let target = load.pause_objective.as_secs_f64() * PAUSE_TARGET_SHARE;
         let max_limit = f64::from(load.ranks * engine.slots);
         let min_limit = (f64::from(load.ranks) * MIN_PER_RANK).min(max_limit);
         // Duration of a pass beyond its fixed part, per request in flight.
         let variable = (pause - fixed).max(fixed * 0.05) / f64::from(load.in_flight);
-        let fitting = ((target - fixed) / variable).clamp(min_limit, max_limit);
+        let fitting = (target - fixed) / variable;
+        let after_shift = self.load_after_shift(&model, load, pause, now);
+        let fitting = fitting.min(after_shift).clamp(min_limit, max_limit);
         let limit = self.limit.unwrap_or(max_limit);
         let weight = if fitting < limit {
             FALL_WEIGHT
@@ -176,6 +198,27 @@
         true
     }
 
+    /// Returns the number of requests with which passes stay within the objective if the demand
+    /// shifts as far as it has lately.
+    fn load_after_shift(
+        &mut self,
+        model: &PassModel,
+        load: &GroupLoad,
+        pause: f64,
+        now: Instant,
+    ) -> f64 {
+        let ranks = f64::from(load.ranks);
+        let skew = model.skew(f64::from(load.in_flight) / ranks, pause);
+        // Longer passes than without a planned map have other causes.
+        let skew = skew.min(NEW_FORMATION_SKEW);
+        let peak = self
+            .peak_skew
+            .filter(|(peak, at)| *peak > skew && now < *at + SHIFT_MEMORY);
+        let (peak, _) = *self.peak_skew.insert(peak.unwrap_or((skew, now)));
+        let longest = load.pause_objective.as_secs_f64() * SHIFT_PASS_SHARE;
+        model.running(longest, peak) * ranks
+    }
+
     /// Returns the highest number of requests that the group should have in flight; `None` while
     /// unknown.
     pub fn limit(&self) -> Option<u32> {
--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -53,9 +53,21 @@
     }
 }
 
+/// Returns an engine at which each request takes longer, so that a shift makes full ranks miss an
+/// objective of 200 ms.
+fn heavy_engine() -> EngineProfile {
+    EngineProfile {
+        step_per_request: Duration::from_micros(900),
+        ..engine()
+    }
+}
+
 /// Returns the time of a pass of a group whose hottest rank has `skew` times the mean load.
 fn pass_time(in_flight: u32, skew: f64) -> Duration {
-    let engine = engine();
+    pass_time_of(&engine(), in_flight, skew)
+}
+
+fn pass_time_of(engine: &EngineProfile, in_flight: u32, skew: f64) -> Duration {
     let running = f64::from(in_flight) / RANKS as f64;
     let writing = engine
         .step_per_request
@@ -237,6 +249,56 @@
     assert!(governor.limit().unwrap() > 120);
 }
 
+/// Load of a group with 200 ms of objective whose demand shifts each 3.6 s, and whose map follows
+/// 0.6 s later. `shifts` says whether the demand shifts at all. Returns the longest pass after the
+/// first shift, and the last limit.
+fn longest_pass(shifts: bool) -> (Duration, u32) {
+    const UPDATE: Duration = Duration::from_millis(100);
+    let objective = Duration::from_millis(200);
+    let mut governor = PassGovernor::new();
+    let start = Instant::now();
+    let (mut in_flight, mut longest) = (100_u32, Duration::ZERO);
+    for update in 1..144_u32 {
+        let since_shift = update * 100 % 3_600;
+        let skew = if shifts && since_shift < 600 {
+            3.0
+        } else {
+            1.1
+        };
+        let pass = pass_time_of(&heavy_engine(), in_flight, skew);
+        if update * 100 > 3_600 + 600 {
+            longest = longest.max(pass);
+        }
+        for _ in 0..6 {
+            governor.record_pause(pass);
+        }
+        let load = GroupLoad {
+            ranks: RANKS as u32,
+            in_flight,
+            pause_objective: objective,
+        };
+        governor.update(&heavy_engine(), &load, start + UPDATE * update);
+        // More requests than fit wait all the time, so that the limit is used.
+        in_flight = governor.limit().unwrap();
+    }
+    (longest, in_flight)
+}
+
+/// Streams last about as long as the time between two shifts, so that a single pass above the
+/// objective after each of them makes nearly all streams late.
+#[test]
+fn limit_keeps_the_passes_after_the_next_shift_within_the_objective() {
+    let (longest, _) = longest_pass(true);
+    assert!(longest < Duration::from_millis(200), "{longest:?}");
+}
+
+/// A group whose demand does not shift must not give up capacity for shifts.
+#[test]
+fn limit_is_not_lowered_for_shifts_that_do_not_occur() {
+    let (longest, limit) = longest_pass(false);
+    assert_eq!(limit, 144, "{longest:?}");
+}
+
 /// Seventeen gateways with three waiting requests each see free capacity at the same moment.
 #[test]
 fn waiting_requests_of_many_gateways_start_over_several_passes() {
