Relieve ranks whose engines report that they are slow

The gateway never read `pace`, went on sending requests to the slow rank, planned maps as if all ranks were equal, and lowered the limit, which did not shorten passes.

Change: the placer of a group reads the reports of all ranks when it reviews long passes, and those of slow ranks each 500 ms. Peers learn of them from load reports. A rank at 1.15 times the median or more gets no new requests while others are usable, its resumable streams move while passes miss the objective, and plans weigh each rank by its speed, from the known demand without a new sample. Pauses up to 1.2 s count as passes. A report without a usable pace is ignored with one log line.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,6 +17,7 @@
 pub mod rank_status;
 pub mod retry_allowance;
 pub mod route_table;
+pub mod slow_ranks;
 pub mod target_choice;
 pub mod target_health;
 pub mod target_roster;
@@ -38,11 +39,12 @@
         CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule,
         RouteTable, ServiceRule, TeamRule,
     },
+    slow_ranks::{DatedSlowdown, SlowRanks, Slowdown},
     target_choice::{ChoiceInput, TargetChoice, choose_target},
     target_health::TargetHealth,
     target_roster::{
-        DirectTarget, GroupMember, GroupView, RosterChange, TargetEntry, TargetId, TargetKey,
-        TargetNotice, TargetRoster, TargetState,
+        DirectTarget, GroupMember, GroupPace, GroupView, RosterChange, TargetEntry, TargetId,
+        TargetKey, TargetNotice, TargetRoster, TargetState,
     },
     waiting_line::{DispatchQueue, WaitKey, WaitRefusal, WaitingRequest},
 };
--- a/crates/core/src/dispatch/demand_window.rs
+++ b/crates/core/src/dispatch/demand_window.rs
@@ -55,6 +55,11 @@
         self.demand = Some(demand.clone());
         Some(demand)
     }
+
+    /// Returns the demand up to the latest sample; `None` before the first one.
+    pub fn latest(&self) -> Option<&ExpertCounts> {
+        self.demand.as_ref()
+    }
 }
 
 /// Returns the demand between two readings of the counts of some ranks; `None` if they do not match
--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -140,15 +140,17 @@
 }
 
 /// Plans a change of the map for the demand in `counts`. The returned map is `None` if no change is
-/// worth its cost, and the whole result is `None` if the planning fails. Layer sets whose hottest
-/// rank exceeds the mean by at most `tolerated_excess`, as a share of the mean, are not changed.
+/// worth its cost, and the whole result is `None` if the planning fails. `weights` contains the speed
+/// of each rank, 1 for a rank that is not slow. Layer sets whose hottest rank exceeds the mean by at
+/// most `tolerated_excess`, as a share of the mean, are not changed.
 pub fn plan_change(
     experts: &ExpertProfile,
-    ranks: usize,
+    weights: &[f64],
     map: &ExpertMap,
     counts: &ExpertCounts,
     tolerated_excess: f64,
 ) -> Option<(Option<ExpertMap>, PlanFigures)> {
+    let ranks = weights.len();
     let shape = GroupShape {
         layers: experts.sets,
         experts: experts.experts,
@@ -157,14 +159,13 @@
         expert_bytes: experts.bytes,
         store_rate: experts.bytes as f64 / experts.load_time.as_secs_f64().max(0.001),
     };
-    let weights = vec![1.0; ranks];
-    let before = step_load(map, counts, &weights);
+    let before = step_load(map, counts, weights);
     let bounds = ChangeBounds {
         loads_per_rank: loads_within_budget(experts),
         loads_per_layer: experts.loads_per_set,
         tolerated_excess,
     };
-    let planned = plan_small_change(&shape, map, counts, &bounds).ok()?;
+    let planned = plan_small_change(&shape, map, counts, weights, &bounds).ok()?;
     let mut figures = PlanFigures {
         skew_before: before.skew(),
         skew_after: before.skew(),
@@ -173,7 +174,7 @@
     let Some(planned) = planned else {
         return Some((None, figures));
     };
-    let after = step_load(&planned, counts, &weights);
+    let after = step_load(&planned, counts, weights);
     figures.skew_after = after.skew();
     figures.loads = map.loads_to(&planned);
     figures.loads_per_rank = loads_per_rank(map, &planned, ranks);
--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -44,8 +44,9 @@
 const MIN_PAUSES: u32 = 4;
 
 /// Longest pause that counts as the duration of a pass. Longer ones are due to stalls, preemptions
-/// and lost packets, which fewer requests would not shorten.
-const MAX_PASS: Duration = Duration::from_millis(600);
+/// and lost packets, which fewer requests would not shorten. A group with a slow rank makes passes
+/// of most of a second.
+const MAX_PASS: Duration = Duration::from_millis(1200);
 
 /// Lower bound of the limit in requests per rank, so that the group always makes progress that can
 /// be measured.
@@ -135,6 +136,15 @@
     pub in_flight: u32,
     /// Longest pause between events of an answer that is on time.
     pub pause_objective: Duration,
+    /// Number of ranks that are slow and therefore take no new requests.
+    pub slow_ranks: u32,
+}
+
+impl GroupLoad {
+    /// Returns the number of requests that the ranks can run, without the slow ones.
+    fn capacity(&self, engine: &EngineProfile) -> f64 {
+        f64::from(self.ranks.saturating_sub(self.slow_ranks).max(1) * engine.slots)
+    }
 }
 
 impl Default for PassGovernor {
@@ -181,7 +191,7 @@
         let model = PassModel::new(engine);
         let fixed = model.fixed();
         let target = load.pause_objective.as_secs_f64() * PAUSE_TARGET_SHARE;
-        let max_limit = f64::from(load.ranks * engine.slots);
+        let max_limit = load.capacity(engine);
         let min_limit = (f64::from(load.ranks) * MIN_PER_RANK).min(max_limit);
         // Duration of a pass beyond its fixed part, per request in flight.
         let variable = (pause - fixed).max(fixed * 0.05) / f64::from(load.in_flight);
@@ -199,7 +209,8 @@
     }
 
     /// Returns the number of requests with which passes stay within the objective if the demand
-    /// shifts as far as it has lately.
+    /// shifts as far as it has lately. Unlimited while a rank is slow, which explains long passes as
+    /// well as a shift does.
     fn load_after_shift(
         &mut self,
         model: &PassModel,
@@ -207,6 +218,10 @@
         pause: f64,
         now: Instant,
     ) -> f64 {
+        if load.slow_ranks > 0 {
+            self.peak_skew = None;
+            return f64::INFINITY;
+        }
         let ranks = f64::from(load.ranks);
         let skew = model.skew(f64::from(load.in_flight) / ranks, pause);
         // Longer passes than without a planned map have other causes.
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -4,11 +4,14 @@
 //! requests than the others slows down each pass of its whole group, so the least loaded target is
 //! chosen. Targets in the gateway's own availability zone are preferred only up to a small
 //! difference in load.
+//!
+//! Load pattern: a slow rank. Each request that it runs lengthens the passes of its whole group by a
+//! multiple, so that it gets none while another rank of the service is usable.
 
 use {
     super::target_roster::{DirectTarget, TargetKey, TargetRoster},
     crate::ids::{GroupName, ServiceName, ZoneName},
-    std::collections::HashMap,
+    std::collections::{HashMap, HashSet},
     tokio::time::Instant,
 };
 
@@ -72,8 +75,8 @@
         targets.filter(|(_, target)| target.takes_work())
     };
     let mut summary = ServiceSummary::default();
-    for (_, target) in ready() {
-        summary.add(target, now);
+    for (key, target) in ready() {
+        summary.add(key, target, now);
     }
     if summary.ready == 0 {
         return TargetChoice::Absent;
@@ -81,8 +84,10 @@
     if ready().all(|(key, _)| input.tried.contains(&key)) {
         return TargetChoice::Exhausted;
     }
+    let slow = summary.slow_targets(roster, now);
     let free = ready().filter(|(key, target)| {
         is_usable(target, now)
+            && !slow.contains(key)
             && !input.tried.contains(key)
             && target.in_flight() < slots(target)
             && !summary.is_full(target, input)
@@ -122,12 +127,15 @@
     /// Earliest end of a hold-off.
     held_off_until: Option<Instant>,
     group_loads: HashMap<&'a GroupName, u32>,
+    /// Usable members of groups.
+    usable_ranks: Vec<(TargetKey, &'a GroupName, &'a DirectTarget)>,
 }
 
 impl<'a> ServiceSummary<'a> {
-    fn add(&mut self, target: &'a DirectTarget, now: Instant) {
+    fn add(&mut self, key: TargetKey, target: &'a DirectTarget, now: Instant) {
+        let is_usable = is_usable(target, now);
         self.ready += 1;
-        self.usable += usize::from(is_usable(target, now));
+        self.usable += usize::from(is_usable);
         if target.notice.is_held_off(now) && target.group_runs && !target.is_superseded {
             let until = target.notice.held_off_until.into_iter();
             self.held_off_until = self.held_off_until.into_iter().chain(until).min();
@@ -135,6 +143,28 @@
         if let Some(member) = &target.entry.group {
             self.broken += usize::from(!target.group_runs);
             *self.group_loads.entry(&member.name).or_default() += target.in_flight();
+            if is_usable {
+                self.usable_ranks.push((key, &member.name, target));
+            }
+        }
+    }
+
+    /// Returns the usable targets that are slow, unless no other target is usable.
+    fn slow_targets(&self, roster: &TargetRoster, now: Instant) -> HashSet<TargetKey> {
+        let paces = self.group_loads.keys();
+        let paces: HashMap<_, _> = paces
+            .map(|name| (*name, roster.group_pace(name, now)))
+            .filter(|(_, pace)| pace.slow_ranks > 0)
+            .collect();
+        let slow = self.usable_ranks.iter().filter(|(_, name, target)| {
+            let pace = paces.get(name);
+            pace.is_some_and(|pace| roster.slowdown(target, now).is_slow(pace.usual))
+        });
+        let slow: HashSet<_> = slow.map(|(key, _, _)| *key).collect();
+        if slow.len() < self.usable {
+            slow
+        } else {
+            HashSet::new()
         }
     }
 
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
+        slow_ranks::{DatedSlowdown, SlowRanks, Slowdown, usual_slowdown},
         target_health::TargetHealth,
     },
     crate::ids::{GroupName, ServiceName, ZoneName},
@@ -177,6 +178,24 @@
     pub is_open: bool,
 }
 
+/// Slowdowns of the ranks of a group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupPace {
+    /// Slowdown of the median rank.
+    pub usual: Slowdown,
+    /// Number of ranks that are slower than the median rank by more than passes vary.
+    pub slow_ranks: u32,
+}
+
+impl Default for GroupPace {
+    fn default() -> Self {
+        Self {
+            usual: Slowdown::NONE,
+            slow_ranks: 0,
+        }
+    }
+}
+
 /// Target that claims a rank of a group. Of several, the greatest one holds the rank: the one of
 /// the newest formation, among these the one that started last.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -197,6 +216,8 @@
     outages: HashMap<GroupName, Instant>,
     /// State of groups from reports, peers and answers, which may be newer than the list.
     watch: GroupWatch,
+    /// Slowdowns that ranks have reported.
+    slow_ranks: SlowRanks,
     /// Notices of targets that are no longer listed.
     notices: HashMap<TargetId, KeptNotice>,
     /// Time at which the list could be read again after an outage. Until [`LAPSE_GRACE`] later, the
@@ -222,6 +243,13 @@
         self.keys.get(id).copied()
     }
 
+    /// Returns the name of the target whose name has the given hash; `None` if there is none.
+    pub fn name_of(&self, name_hash: u32) -> Option<&str> {
+        let mut targets = self.targets.values();
+        let target = targets.find(|target| target.name_hash == name_hash)?;
+        Some(&target.entry.id)
+    }
+
     /// Returns the targets of a service.
     pub fn of_service<'a>(
         &'a self,
@@ -283,6 +311,7 @@
         }
         self.listed_at = Some(now);
         self.watch.drop_outdated(now);
+        self.slow_ranks.drop_outdated(now);
         self.notices
             .retain(|_, kept| now < kept.kept_at + NOTICE_RETENTION);
         let regained_at = self.regained_at.filter(|at| now < *at + LAPSE_GRACE);
@@ -328,6 +357,37 @@
         self.ranks_of(name).map(|target| target.own_in_flight).sum()
     }
 
+    /// Records a reported slowdown of the target whose name has the given hash; returns whether the
+    /// target became slow or recovered.
+    pub fn note_slowdown(&mut self, target: u32, report: DatedSlowdown, now: Instant) -> bool {
+        self.slow_ranks.record(target, report, now)
+    }
+
+    /// Returns the slowdown of a target, as its engine reported it.
+    pub fn slowdown(&self, target: &DirectTarget, now: Instant) -> Slowdown {
+        self.slow_ranks.slowdown(target.name_hash, now)
+    }
+
+    /// Returns the slowdowns that are sent to the peers, by the hash of the target's name.
+    pub fn slowdown_news(&self, now: Instant) -> impl Iterator<Item = (u32, DatedSlowdown)> {
+        self.slow_ranks.news(now)
+    }
+
+    /// Returns how slow the ranks of a group are.
+    pub fn group_pace(&self, name: &GroupName, now: Instant) -> GroupPace {
+        if self.slow_ranks.is_empty() {
+            return GroupPace::default();
+        }
+        let ranks = self.ranks_of(name).filter(|rank| !rank.is_superseded);
+        let slowdowns: Vec<_> = ranks.map(|rank| self.slowdown(rank, now)).collect();
+        let usual = usual_slowdown(slowdowns.iter().copied());
+        let slow = slowdowns.iter().filter(|slowdown| slowdown.is_slow(usual));
+        GroupPace {
+            usual,
+            slow_ranks: slow.count() as u32,
+        }
+    }
+
     fn ranks_of(&self, name: &GroupName) -> impl Iterator<Item = &DirectTarget> {
         self.targets.values().filter(move |target| {
             let member = target.entry.group.as_ref();
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -124,6 +124,9 @@
     7012 PeerChanged Info "peer gateway joined or left";
     7013 TargetHeldOff Info "target requested a hold-off";
     7014 GroupForming Info "all ranks of a broken group answer again";
+    7015 TargetSlow Warn "target is slow and gets no new requests";
+    7016 TargetRecovered Info "slow target has recovered";
+    7017 SlowdownUnreadable Warn "status report of a target has no usable slowdown";
     8001 PlatformUnavailable Warn "platform call failed";
     8002 PlatformRecovered Info "platform calls succeed again";
 }
--- a/crates/core/src/placement/responsive.rs
+++ b/crates/core/src/placement/responsive.rs
@@ -65,8 +65,9 @@
     holders: Vec<Vec<RankNumber>>,
     /// Experts that each rank holds.
     held: Vec<Vec<usize>>,
-    /// Tokens that each rank processes.
+    /// Tokens that each rank processes, divided by the weight of the rank.
     loads: Vec<f64>,
+    weights: &'a [f64],
     mean: f64,
     /// Changes of the loads by the step under evaluation, as pairs of rank and difference; kept
     /// between steps to save allocations.
@@ -74,22 +75,26 @@
 }
 
 impl<'a> LayerDraft<'a> {
-    fn new(map: &ExpertMap, counts: &'a ExpertCounts, layer: usize, ranks: usize) -> Self {
+    fn new(map: &ExpertMap, counts: &'a ExpertCounts, layer: usize, weights: &'a [f64]) -> Self {
         let holders = map.layer(layer);
-        let mut loads = vec![0.0; ranks];
+        let mut loads = vec![0.0; weights.len()];
         layer_loads(map, counts, layer, &mut loads);
-        let mut held = vec![Vec::new(); ranks];
+        let mean = loads.iter().sum::<f64>() / weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        for (load, weight) in loads.iter_mut().zip(weights) {
+            *load /= weight;
+        }
+        let mut held = vec![Vec::new(); weights.len()];
         for (expert, ranks) in holders.iter().enumerate() {
             for rank in ranks {
                 held[usize::from(*rank)].push(expert);
             }
         }
-        let mean = loads.iter().sum::<f64>() / ranks.max(1) as f64;
         Self {
             tokens: counts.layer(layer),
             holders,
             held,
             loads,
+            weights,
             mean,
             changed: Vec::new(),
         }
@@ -122,7 +127,9 @@
         (load / self.mean).powi(8)
     }
 
-    fn change(&mut self, rank: usize, difference: f64) {
+    /// Adds a difference, in tokens, to the load of a rank.
+    fn change(&mut self, rank: usize, tokens: f64) {
+        let difference = tokens / self.weights[rank];
         match self.changed.iter_mut().find(|(known, _)| *known == rank) {
             Some((_, sum)) => *sum += difference,
             None => self.changed.push((rank, difference)),
@@ -309,8 +316,9 @@
     }
 }
 
-/// Plans a small change of a map within bounds. Returns the new map, with the version of the
-/// current one, or `None` if no step helps.
+/// Plans a small change of a map within bounds. `weights` contains the speed of each rank, which is
+/// above 0; a rank of weight 0.5 takes twice as long for a token as one of weight 1. Returns the
+/// new map, with the version of the current one, or `None` if no step helps.
 ///
 /// # Errors
 ///
@@ -319,10 +327,11 @@
     shape: &GroupShape,
     map: &ExpertMap,
     counts: &ExpertCounts,
+    weights: &[f64],
     bounds: &ChangeBounds,
 ) -> Result<Option<ExpertMap>> {
     let mut drafts: Vec<_> = (0..map.layers())
-        .map(|layer| LayerDraft::new(map, counts, layer, shape.ranks))
+        .map(|layer| LayerDraft::new(map, counts, layer, weights))
         .collect();
     let mut budget = LoadBudget::new(shape.ranks, *bounds);
     let mut excesses: Vec<_> = drafts.iter().map(LayerDraft::excess).collect();
--- a/crates/core/tests/map_quality.rs
+++ b/crates/core/tests/map_quality.rs
@@ -156,7 +156,7 @@
         let demand = model.demand(&topic_weights(&mut generator));
         let started_at = Instant::now();
         let (planned, figures) =
-            plan_change(&size.profile(), size.ranks, &map, &demand, 0.04).unwrap();
+            plan_change(&size.profile(), &vec![1.0; size.ranks], &map, &demand, 0.04).unwrap();
         let took = started_at.elapsed();
         map = planned.unwrap_or(map);
         let slowest = step_load(&map, &demand, &weights).slowest;
--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -102,12 +102,19 @@
         "{}",
         skew(&initial_map, &demand)
     );
-    let (first, figures) =
-        plan_change(&experts(), RANKS, &initial_map, &demand, FULL_LOAD_EXCESS).unwrap();
+    let (first, figures) = plan_change(
+        &experts(),
+        &[1.0; RANKS],
+        &initial_map,
+        &demand,
+        FULL_LOAD_EXCESS,
+    )
+    .unwrap();
     let first = first.unwrap();
     assert_eq!(figures.loads_per_rank, 1);
     assert!(skew(&first, &demand) < 1.8, "{}", skew(&first, &demand));
-    let (second, _) = plan_change(&experts(), RANKS, &first, &demand, FULL_LOAD_EXCESS).unwrap();
+    let (second, _) =
+        plan_change(&experts(), &[1.0; RANKS], &first, &demand, FULL_LOAD_EXCESS).unwrap();
     assert!(skew(&second.unwrap(), &demand) < 1.5);
 }
 
@@ -118,7 +125,7 @@
         let demand = shifted_demand(hottest);
         for _ in 0..3 {
             let (planned, _) =
-                plan_change(&experts(), RANKS, &map, &demand, FULL_LOAD_EXCESS).unwrap();
+                plan_change(&experts(), &[1.0; RANKS], &map, &demand, FULL_LOAD_EXCESS).unwrap();
             map = planned.unwrap_or(map);
         }
         assert!(
@@ -143,7 +150,7 @@
     let initial_map = ExpertMap::round_robin(0, SETS, EXPERTS, RANKS);
     let (_, figures) = plan_change(
         &small,
-        RANKS,
+        &[1.0; RANKS],
         &initial_map,
         &shifted_demand(3),
         FULL_LOAD_EXCESS,
@@ -221,6 +228,7 @@
             ranks: RANKS as u32,
             in_flight,
             pause_objective: objective,
+            slow_ranks: 0,
         };
         governor.update(&engine(), &load, now);
         in_flight = governor.limit().unwrap();
@@ -243,6 +251,7 @@
             ranks: RANKS as u32,
             in_flight: 60,
             pause_objective: Duration::from_millis(120),
+            slow_ranks: 0,
         };
         governor.update(&engine(), &load, now);
     }
@@ -276,6 +285,7 @@
             ranks: RANKS as u32,
             in_flight,
             pause_objective: objective,
+            slow_ranks: 0,
         };
         governor.update(&heavy_engine(), &load, start + UPDATE * update);
         // More requests than fit wait all the time, so that the limit is used.
@@ -299,6 +309,30 @@
     assert_eq!(limit, 144, "{longest:?}");
 }
 
+/// A slow rank makes passes long until it runs no more requests. They are no sign of a shift, and
+/// the limit has to rise as soon as they end.
+#[test]
+fn limit_rises_at_once_after_a_slow_rank_is_relieved() {
+    let mut governor = PassGovernor::new();
+    let mut now = Instant::now();
+    for (pass, slow_ranks) in [(600, 0), (600, 1), (600, 1), (65, 1), (65, 1), (65, 1)] {
+        for _ in 0..6 {
+            governor.record_pause(Duration::from_millis(pass));
+        }
+        now += Duration::from_millis(100);
+        let load = GroupLoad {
+            ranks: RANKS as u32,
+            in_flight: 100,
+            pause_objective: Duration::from_millis(200),
+            slow_ranks,
+        };
+        governor.update(&heavy_engine(), &load, now);
+    }
+    // The slow rank takes no requests, so that eleven ranks with twelve slots are left.
+    let limit = governor.limit().unwrap();
+    assert!((120..=132).contains(&limit), "{limit}");
+}
+
 /// Seventeen gateways with three waiting requests each see free capacity at the same moment.
 #[test]
 fn waiting_requests_of_many_gateways_start_over_several_passes() {
@@ -523,7 +557,8 @@
         ..experts()
     };
     let map = ExpertMap::round_robin(0, SETS, EXPERTS, RANKS);
-    let (planned, _) = plan_change(&small, RANKS, &map, planned_for, FULL_LOAD_EXCESS).unwrap();
+    let (planned, _) =
+        plan_change(&small, &[1.0; RANKS], &map, planned_for, FULL_LOAD_EXCESS).unwrap();
     skew(&planned.unwrap_or(map), actual)
 }
 
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -15,7 +15,7 @@
         ids::ServiceName,
     },
     slotmap::SecondaryMap,
-    std::{rc::Rc, result, time::Duration},
+    std::{collections::HashMap, rc::Rc, result, time::Duration},
     tokio::{
         sync::oneshot,
         time::{Instant, sleep},
@@ -154,6 +154,28 @@
     })
 }
 
+/// Takes a slot at a target without waiting, for a stream that moves from another target of its
+/// group; `None` if there is none. The limit of the group does not apply, because the stream is one
+/// of the requests in flight there.
+pub fn acquire_for_move(
+    state: &Rc<GatewayState>,
+    service: &ServiceName,
+    tried: &[TargetKey],
+) -> Option<TargetLease> {
+    let input = ChoiceInput {
+        service,
+        own_zone: &state.own_zone,
+        tried,
+        group_limits: &HashMap::new(),
+        draw: rand::random(),
+    };
+    let choice = choose_target(&state.roster.borrow(), &input, Instant::now());
+    match choice {
+        TargetChoice::Chosen(key) => Some(lease(state, service, key)),
+        _ => None,
+    }
+}
+
 /// Reviews the queues at a fixed interval while requests wait, until the process ends.
 pub async fn review_queues(state: Rc<GatewayState>) {
     loop {
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -11,10 +11,10 @@
     hyper::{Request, StatusCode},
     sassafrasslip_core::{
         dispatch::{
-            GroupView, OrderOutcome, RankControl, RankOrder, RankStatus, TargetId,
+            GroupView, OrderOutcome, RankControl, RankOrder, RankStatus, Slowdown, TargetId,
             channel_plan::idle_limit, map_switch::RankIndex,
         },
-        events::LogEvent::OrderMissed,
+        events::LogEvent::{OrderMissed, SlowdownUnreadable},
         ids::GroupName,
         log_event,
         placement::{ExpertMap, ExpertNumber, RankNumber},
@@ -25,7 +25,7 @@
         engine::{
             ACTIVATIONS_PATH, LOADED_EXPERTS_PATH, ORDER_PATH, REPORT_PATH, decode_activations,
             decode_group_view, decode_loaded_experts, decode_order_outcome, decode_report,
-            encode_order,
+            decode_slowdown, encode_order,
         },
     },
     std::{
@@ -60,6 +60,8 @@
     /// Address of the engine.
     pub address: SocketAddr,
     channel: RefCell<Option<IdleChannel>>,
+    /// Whether the log says that its reports have no usable slowdown.
+    has_logged_slowdown: Cell<bool>,
 }
 
 #[derive(Debug)]
@@ -101,6 +103,7 @@
                 target,
                 address,
                 channel: RefCell::new(None),
+                has_logged_slowdown: Cell::new(false),
             });
         Self {
             group,
@@ -142,6 +145,33 @@
         (status.epoch == self.epoch).then_some(status)
     }
 
+    /// Reads how slow a rank is from its report; `None` if the rank does not answer in time, is in
+    /// another formation, or reports no slowdown that can be used.
+    pub async fn slowdown(&self, rank: RankIndex) -> Option<Slowdown> {
+        let body = self.get(rank, REPORT_PATH).await?;
+        match decode_slowdown(&body) {
+            Ok((epoch, slowdown)) => (epoch == self.epoch).then_some(slowdown),
+            Err(error) => {
+                let endpoint = self.endpoints.get(rank)?;
+                if !endpoint.has_logged_slowdown.replace(true) {
+                    log_event!(
+                        SlowdownUnreadable,
+                        target = endpoint.target,
+                        group = self.group,
+                        rank = rank,
+                        fault = error
+                    );
+                }
+                None
+            }
+        }
+    }
+
+    /// Returns the target that runs a rank; `None` if there is no such rank.
+    pub fn target(&self, rank: RankIndex) -> Option<&TargetId> {
+        self.endpoints.get(rank).map(|endpoint| &endpoint.target)
+    }
+
     /// Reads the state of the group from the report of a rank, whatever formation the rank is in;
     /// `None` if it does not answer in time.
     pub async fn formation(&self, rank: RankIndex) -> Option<GroupView> {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -15,8 +15,8 @@
     prost::Message,
     sassafrasslip_core::{
         dispatch::{
-            DatedView, GroupMember, GroupNews, GroupView, PeerReport, TargetEntry, TargetRoster,
-            TargetState,
+            DatedSlowdown, DatedView, GroupMember, GroupNews, GroupView, PeerReport, Slowdown,
+            TargetEntry, TargetRoster, TargetState,
             peer_table::{PeerLoad, ZONE_INTERVAL, remote_interval},
         },
         events::LogEvent::{FrameDropped, PeerChanged},
@@ -25,7 +25,8 @@
     },
     sassafrasslip_platform::decode_configuration,
     sassafrasslip_proto::peer::{
-        GroupNewsRecord, GroupRecord, LoadReport, Snapshot, SnapshotRequest, TargetRecord,
+        GroupNewsRecord, GroupRecord, LoadReport, SlowdownRecord, Snapshot, SnapshotRequest,
+        TargetRecord,
     },
     std::{
         error::Error,
@@ -217,6 +218,28 @@
             .group_news(now)
             .map(|(name, news)| group_record(name, &news, now))
             .collect(),
+        slowdowns: roster
+            .slowdown_news(now)
+            .map(|(target, report)| slowdown_record(target, &report, now))
+            .collect(),
+    }
+}
+
+fn slowdown_record(target: u32, report: &DatedSlowdown, now: Instant) -> SlowdownRecord {
+    let age = now.saturating_duration_since(report.as_of);
+    SlowdownRecord {
+        target,
+        factor: report.slowdown.factor() as f32,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn note_slowdown(state: &GatewayState, record: &SlowdownRecord, now: Instant) {
+    let age = Duration::from_millis(record.age_ms.into());
+    let slowdown = Slowdown::from_factor(record.factor.into());
+    if let (Some(slowdown), Some(as_of)) = (slowdown, now.checked_sub(age)) {
+        let report = DatedSlowdown { slowdown, as_of };
+        state.note_slowdown(record.target, report, "peer");
     }
 }
 
@@ -279,6 +302,9 @@
     for news in &report.groups {
         note_group_news(state, news, now);
     }
+    for record in &report.slowdowns {
+        note_slowdown(state, record, now);
+    }
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
     let own = state.own_address();
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -10,17 +10,20 @@
 
 mod demand;
 mod recovery;
+mod slowness;
 
 use {
     self::{
         demand::sample,
         recovery::{free_if_held, is_stalled},
+        slowness::{SlownessWatch, read_slowdowns},
     },
     super::{engines::GroupEngines, state::GatewayState},
+    futures_util::future::{Either, select},
     sassafrasslip_core::{
         dispatch::{
-            DirectTarget, EngineProfile, ExpertProfile, GroupMember, PassPace, RankStatus,
-            RouteTable, SwitchResult, TargetId,
+            DirectTarget, EngineProfile, ExpertProfile, GroupMember, GroupPace, PassPace,
+            RankStatus, RouteTable, Slowdown, SwitchResult, TargetId,
             demand_window::DemandWindow,
             map_plan::{PassLoad, PlanFigures, pass_is_slow, plan_change, tolerated_excess},
             map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS, version_after},
@@ -31,12 +34,13 @@
         events::LogEvent::{MapPlanned, MapSwitched},
         ids::{GroupName, ServiceName},
         log_event,
-        placement::ExpertMap,
+        placement::{ExpertCounts, ExpertMap},
     },
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
         net::{Ipv4Addr, SocketAddr},
+        pin::pin,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -74,6 +78,8 @@
     highest_version: u64,
     next_review: Instant,
     demand: DemandWindow,
+    /// Speed of each rank for which the map was last planned.
+    weights: Vec<f64>,
 }
 
 /// Groups that this gateway places, and the state that it keeps between reviews.
@@ -89,6 +95,7 @@
     /// Epoch of the latest formation of each group that this placer has seen broken. The next
     /// formation of the group starts with nothing held, prepared or armed.
     broken_epochs: RefCell<HashMap<GroupName, u64>>,
+    slowness: SlownessWatch,
     placer_bits: u64,
 }
 
@@ -99,6 +106,7 @@
     epoch: u64,
     engines: Rc<GroupEngines>,
     in_flight: u32,
+    pace: GroupPace,
     progress_at: Option<Instant>,
     has_own_requests: bool,
 }
@@ -132,7 +140,9 @@
             }
             let (state, placer) = (Rc::clone(&state), Rc::clone(&placer));
             let places = state.started_at.elapsed() >= STARTUP_DELAY && is_placer(&state, &name);
-            if !places {
+            if places {
+                placer.slowness.follow(&state, &snapshot);
+            } else {
                 placer.forget_group(&name);
             }
             let is_new = places && placer.is_first_look(&snapshot);
@@ -202,6 +212,7 @@
             highest_version: 0,
             next_review: Instant::now(),
             demand: DemandWindow::default(),
+            weights: vec![1.0; ranks],
         };
         let mut groups = self.groups.borrow_mut();
         groups.insert(snapshot.name.clone(), group);
@@ -283,7 +294,8 @@
     let views = roster.groups();
     let snapshots = ranks.into_iter().filter_map(|(name, ranks)| {
         let view = views.get(name).filter(|view| view.is_open)?;
-        GroupSnapshot::gather(placer, name, view.epoch, ranks)
+        let pace = roster.group_pace(name, Instant::now());
+        GroupSnapshot::gather(placer, name, view.epoch, pace, ranks)
     });
     snapshots.collect()
 }
@@ -294,6 +306,7 @@
         placer: &Placer,
         name: &GroupName,
         epoch: u64,
+        pace: GroupPace,
         mut ranks: Vec<(&GroupMember, &DirectTarget)>,
     ) -> Option<Self> {
         // Requests at a target whose rank another target has taken over are still in flight.
@@ -313,6 +326,7 @@
             epoch,
             engines: placer.engines(name, epoch, endpoints),
             in_flight,
+            pace,
             progress_at: targets().filter_map(|target| target.progress_at).max(),
             has_own_requests: targets().any(|target| target.own_in_flight > 0),
         })
@@ -408,10 +422,9 @@
     let engines = &*snapshot.engines;
     let started_at = Instant::now();
     let map = current_map(placer, experts, snapshot).await?;
-    let pass = state.mean_pause(&snapshot.name).unwrap_or_default();
-    let counts = sample(placer, snapshot, experts, pass).await?;
+    let (counts, weights) = find_cause(state, placer, experts, snapshot).await?;
     let tolerated = tolerated_excess(engine, &snapshot.load(table));
-    let (planned, figures) = plan_change(experts, engines.ranks(), &map, &counts, tolerated)?;
+    let (planned, figures) = plan_change(experts, &weights, &map, &counts, tolerated)?;
     log_plan(snapshot, &figures, started_at);
     let planned = planned?;
     engines.take_stats();
@@ -477,6 +490,59 @@
     Some(())
 }
 
+/// Returns the demand for the experts and the speed of each rank, either of which may be the cause
+/// of long passes. If ranks have become slow or have recovered, the demand that is known already is
+/// used, since a sample takes as long as a pass.
+async fn find_cause(
+    state: &GatewayState,
+    placer: &Placer,
+    experts: &ExpertProfile,
+    snapshot: &GroupSnapshot,
+) -> Option<(ExpertCounts, Vec<f64>)> {
+    let engines = &*snapshot.engines;
+    let pass = state.mean_pause(&snapshot.name).unwrap_or_default();
+    let rank_change = async {
+        read_slowdowns(state, engines, 0..engines.ranks()).await;
+        let weights = rank_weights(state, engines);
+        let groups = placer.groups.borrow();
+        let group = groups.get(&snapshot.name)?;
+        if group.weights == weights {
+            return None;
+        }
+        Some((group.demand.latest()?.clone(), weights))
+    };
+    let sampled = sample(placer, snapshot, experts, pass);
+    let (counts, weights) = match select(pin!(rank_change), pin!(sampled)).await {
+        Either::Left((Some(known), _)) => known,
+        Either::Left((None, sampled)) => (sampled.await?, rank_weights(state, engines)),
+        Either::Right((counts, rank_change)) => match (counts, rank_change.await) {
+            (_, Some(known)) => known,
+            (counts, None) => (counts?, rank_weights(state, engines)),
+        },
+    };
+    let mut groups = placer.groups.borrow_mut();
+    groups.get_mut(&snapshot.name)?.weights.clone_from(&weights);
+    Some((counts, weights))
+}
+
+/// Returns the speed of each rank for the planning of a map: 1 for a rank that is as fast as the
+/// median rank, less for a slow one.
+fn rank_weights(state: &GatewayState, engines: &GroupEngines) -> Vec<f64> {
+    let (now, roster) = (Instant::now(), state.roster.borrow());
+    let usual = roster.group_pace(&engines.group, now).usual;
+    let weights = (0..engines.ranks()).map(|rank| {
+        let key = engines.target(rank).and_then(|id| roster.find(id));
+        let target = key.and_then(|key| roster.get(key));
+        let slowdown = target.map_or(Slowdown::NONE, |target| roster.slowdown(target, now));
+        if slowdown.is_slow(usual) {
+            usual.factor() / slowdown.factor()
+        } else {
+            1.0
+        }
+    });
+    weights.collect()
+}
+
 fn log_plan(snapshot: &GroupSnapshot, figures: &PlanFigures, started_at: Instant) {
     log_event!(
         MapPlanned,
@@ -524,6 +590,7 @@
         highest_version,
         next_review: Instant::now(),
         demand: DemandWindow::default(),
+        weights: vec![1.0; engines.ranks()],
     };
     placer
         .groups
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 
 use {
     super::{
+        admission::TargetLease,
         channels::describe_exchange,
         exchange::{AttemptError, OpenAnswer},
         reply::{CutError, ReplyBody},
@@ -122,6 +123,16 @@
             let Some(open) = &mut self.open else {
                 return Err(self.abort(handler, "no target"));
             };
+            if self.splitter.last_id().is_some()
+                && let Some(lease) = handler.leave_slow_target(open.lease.key)
+            {
+                let error = AttemptError {
+                    blames_target: false,
+                    ..AttemptError::broken("target is slow")
+                };
+                self.resume_elsewhere(handler, &error, Some(lease)).await?;
+                continue;
+            }
             let since = Instant::now();
             match next_events(handler, open, &mut self.splitter).await {
                 Ok(Some(events)) => {
@@ -130,7 +141,7 @@
                     return Ok(Some(events));
                 }
                 Ok(None) => self.is_complete = true,
-                Err(error) => self.resume_elsewhere(handler, &error).await?,
+                Err(error) => self.resume_elsewhere(handler, &error, None).await?,
             }
         }
         if let Some(open) = self.open.take() {
@@ -152,11 +163,13 @@
         }
     }
 
-    /// Resumes the stream at another target after the last complete event.
+    /// Resumes the stream at another target after the last complete event, first at the target of
+    /// `lease` if there is one.
     async fn resume_elsewhere(
         &mut self,
         handler: &mut RequestHandler,
         error: &AttemptError,
+        mut lease: Option<TargetLease>,
     ) -> Result<(), CutError> {
         self.open = None;
         let mut decision = handler.after_failure(error);
@@ -168,7 +181,11 @@
             return Err(self.abort(handler, "events have no id"));
         };
         while decision.is_continue() {
-            decision = match handler.attempt(Some(&last_id)).await {
+            let attempt = match lease.take() {
+                Some(lease) => handler.attempt_at(lease, Some(&last_id)).await,
+                None => handler.attempt(Some(&last_id)).await,
+            };
+            decision = match attempt {
                 Ok(open) if is_stream(&open.parts, &open) => {
                     log_event!(
                         StreamMoved,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        admission::{self, AdmissionRefusal, AdmissionRequest},
+        admission::{self, AdmissionRefusal, AdmissionRequest, TargetLease},
         exchange::{self, AttemptError, AttemptInput, OpenAnswer},
         relay,
         reply::{LocalReply, ReplyBody},
@@ -264,6 +264,20 @@
             Ok(lease) => lease,
             Err(refusal) => return Err(ControlFlow::Break(self.refused(&refusal))),
         };
+        self.attempt_at(lease, resume_after).await
+    }
+
+    /// Makes one attempt at the target of a lease. With `resume_after`, the attempt resumes a
+    /// stream after the event with that id.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the next step: another attempt, or the response that ends the request.
+    pub(super) async fn attempt_at(
+        &mut self,
+        lease: TargetLease,
+        resume_after: Option<&str>,
+    ) -> Result<OpenAnswer, ControlFlow<LocalReply>> {
         let now = Instant::now();
         if self.first_sent_at.is_none() {
             self.first_sent_at = Some(now);
@@ -291,6 +305,19 @@
         sent.map_err(|error| self.after_failure(&error))
     }
 
+    /// Takes a slot at another target for a stream that is held up by a slow rank; `None` if the
+    /// stream stays where it is.
+    pub(super) fn leave_slow_target(&mut self, key: TargetKey) -> Option<TargetLease> {
+        let objective = self.matched.route.pause_objective?;
+        if self.matched.route.repeat != RepeatRule::ResumableStream
+            || !self.state.is_held_up_by(key, objective)
+        {
+            return None;
+        }
+        let lease = admission::acquire_for_move(&self.state, &self.service, &self.tried)?;
+        self.reserve_move(Instant::now()).then_some(lease)
+    }
+
     /// Returns whether the caller has enough time for a retry after a refusal. A caller that is
     /// already retrying has a much shorter timeout left than on its first try.
     fn can_return(&self) -> bool {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -14,12 +14,12 @@
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            DatedView, GroupLoad, PeerTable, RetryAllowance, RosterChange, RouteRule, RouteTable,
-            TargetEntry, TargetKey, TargetRoster,
+            DatedSlowdown, DatedView, GroupLoad, PeerTable, RetryAllowance, RosterChange,
+            RouteRule, RouteTable, Slowdown, TargetEntry, TargetKey, TargetRoster,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, TableApplied, TableOutdated, TargetEjected, TargetHeldOff,
-            TargetLeft, TargetListed,
+            TargetLeft, TargetListed, TargetRecovered, TargetSlow,
         },
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
@@ -246,6 +246,33 @@
         }
     }
 
+    /// Records the slowdown that the engine of a target has reported. `target` is the hash of the
+    /// target's name.
+    pub fn note_slowdown(&self, target: u32, report: DatedSlowdown, source: &'static str) {
+        let mut roster = self.roster.borrow_mut();
+        if !roster.note_slowdown(target, report, Instant::now()) {
+            return;
+        }
+        let id = roster.name_of(target).unwrap_or("unknown");
+        let factor = report.slowdown.factor();
+        if report.slowdown.is_slow(Slowdown::NONE) {
+            log_event!(
+                TargetSlow,
+                target = id,
+                slowdown = format_args!("{factor:.2}"),
+                source = source
+            );
+        } else {
+            log_event!(
+                TargetRecovered,
+                target = id,
+                slowdown = format_args!("{factor:.2}"),
+                source = source
+            );
+        }
+        self.notify_peers(source);
+    }
+
     /// Records the state of a group as a rank or a peer reports it.
     pub fn note_group_view(&self, name: &GroupName, dated: DatedView, source: &'static str) {
         let now = Instant::now();
@@ -304,16 +331,37 @@
         let Some(engine) = rule.and_then(|rule| rule.engine.as_ref()) else {
             return;
         };
+        let pace = roster.group_pace(&member.name, Instant::now());
         let load = GroupLoad {
             ranks: member.size,
             in_flight: roster.group_load(&member.name),
             pause_objective: objective,
+            slow_ranks: pace.slow_ranks,
         };
         let own = roster.own_group_load(&member.name);
         let mut bounds = self.bounds.borrow_mut();
         bounds.record_pause(&member.name, pause, engine, &load, own);
     }
 
+    /// Returns whether a target is a slow rank whose group makes longer passes than the pause
+    /// objective of a route. Its streams are then better off at another rank, although a move costs
+    /// each of them a pause.
+    pub fn is_held_up_by(&self, key: TargetKey, objective: Duration) -> bool {
+        let roster = self.roster.borrow();
+        let target = roster.get(key);
+        let Some((target, member)) =
+            target.and_then(|target| Some((target, target.entry.group.as_ref()?)))
+        else {
+            return false;
+        };
+        let pass = self.mean_pause(&member.name);
+        let now = Instant::now();
+        pass.is_some_and(|pass| pass > objective)
+            && roster
+                .slowdown(target, now)
+                .is_slow(roster.group_pace(&member.name, now).usual)
+    }
+
     /// Records that a request starts at a target and takes a slot there.
     pub fn record_start(&self, key: TargetKey) {
         let mut roster = self.roster.borrow_mut();
--- a/crates/testkit/src/cases.rs
+++ b/crates/testkit/src/cases.rs
@@ -1,6 +1,7 @@
 //! Macro for tests that run one check on a table of named cases.
 
-/// Declares one `#[test]` function for each named case of a check function.
+/// Declares one `#[test]` function for each named case of a check function, or one
+/// `#[tokio::test]` function if the check is asynchronous.
 ///
 /// ```ignore
 /// test_cases! {
@@ -22,4 +23,12 @@
             }
         )+
     };
+    (async fn $check:ident $signature:tt; $($name:ident: $values:tt;)+) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                $check $values.await;
+            }
+        )+
+    };
 }
