Extend empty samples, and keep slow streams until their move succeeds

After a stall of a held group the opposite held, and a sample took 1.2 s. A stream that left a slow rank was closed there first, and cut if no other rank took it.

Change: a sample is read after 100 to 250 ms, and up to twice more until it shows a pass. A stream goes on at the slow rank until another one has begun to answer. The reports of all ranks are read once a second at most.

--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -243,6 +243,11 @@
         self.keys.get(id).copied()
     }
 
+    /// Returns the target with the name `id`; `None` if there is none.
+    pub fn find_target(&self, id: &str) -> Option<&DirectTarget> {
+        self.find(id).and_then(|key| self.get(key))
+    }
+
     /// Returns the name of the target whose name has the given hash; `None` if there is none.
     pub fn name_of(&self, name_hash: u32) -> Option<&str> {
         let mut targets = self.targets.values();
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -16,7 +16,7 @@
     self::{
         demand::sample,
         recovery::{free_if_held, is_stalled},
-        slowness::{SlownessWatch, read_slowdowns},
+        slowness::SlownessWatch,
     },
     super::{engines::GroupEngines, state::GatewayState},
     futures_util::future::{Either, select},
@@ -502,7 +502,7 @@
     let engines = &*snapshot.engines;
     let pass = state.mean_pause(&snapshot.name).unwrap_or_default();
     let rank_change = async {
-        read_slowdowns(state, engines, 0..engines.ranks()).await;
+        placer.slowness.check_all(state, engines).await;
         let weights = rank_weights(state, engines);
         let groups = placer.groups.borrow();
         let group = groups.get(&snapshot.name)?;
@@ -531,8 +531,7 @@
     let (now, roster) = (Instant::now(), state.roster.borrow());
     let usual = roster.group_pace(&engines.group, now).usual;
     let weights = (0..engines.ranks()).map(|rank| {
-        let key = engines.target(rank).and_then(|id| roster.find(id));
-        let target = key.and_then(|key| roster.get(key));
+        let target = engines.target(rank).and_then(|id| roster.find_target(id));
         let slowdown = target.map_or(Slowdown::NONE, |target| roster.slowdown(target, now));
         if slowdown.is_slow(usual) {
             usual.factor() / slowdown.factor()
--- a/crates/daemon/src/gateway/placer/demand.rs
+++ b/crates/daemon/src/gateway/placer/demand.rs
@@ -15,9 +15,15 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Shortest duration of a sample. A rank makes a few thousand expert choices in that time, enough to
-/// show the hottest experts clearly.
-const MIN_SAMPLE_TIME: Duration = Duration::from_millis(100);
+/// Shortest and longest time after which a sample is read. A rank makes a few thousand expert
+/// choices in the shortest one, enough to show the hottest experts clearly. The longest one applies
+/// when the latest passes were much longer than the present ones may be, as after a stall.
+const SAMPLE_TIME_RANGE: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(250));
+
+/// Number of times that a sample is read until it shows a pass. The time between two reads doubles,
+/// so that the last one is read after 1.75 s, which is longer than the passes of a slow group.
+const MAX_SAMPLE_READS: u32 = 3;
 
 /// Duration of a sample in passes. Choices are counted once in each pass, and the duration of passes
 /// varies.
@@ -29,8 +35,8 @@
 
 /// Samples how often the requests on some ranks choose each expert, and returns the counts over the
 /// group's demand window. While the demand does not change, the window reaches back to the sample
-/// that first showed it. `pass` is the duration of a pass. Returns `None` if a sampled rank does not answer, if the group is no
-/// longer tracked, or if the window yields no counts.
+/// that first showed it. `pass` is the duration of a pass. Returns `None` if a sampled rank does not
+/// answer, if the group is no longer tracked, or if the window yields no counts.
 pub(super) async fn sample(
     placer: &Placer,
     snapshot: &GroupSnapshot,
@@ -40,8 +46,17 @@
     let engines = &snapshot.engines;
     let ranks = sampled_ranks(&snapshot.name, engines.ranks());
     let before = read_counts(engines, &ranks).await?;
-    sleep(MIN_SAMPLE_TIME.max(pass.mul_f64(SAMPLED_PASSES))).await;
-    let after = read_counts(engines, &ranks).await?;
+    let (min_time, max_time) = SAMPLE_TIME_RANGE;
+    let mut time = pass.mul_f64(SAMPLED_PASSES).clamp(min_time, max_time);
+    let mut after = Vec::new();
+    for _ in 0..MAX_SAMPLE_READS {
+        sleep(time).await;
+        after = read_counts(engines, &ranks).await?;
+        if after != before {
+            break;
+        }
+        time *= 2;
+    }
     let mut groups = placer.groups.borrow_mut();
     let window = &mut groups.get_mut(&snapshot.name)?.demand;
     window.observe(experts.sets, experts.experts, before, &after)
--- a/crates/daemon/src/gateway/placer/slowness.rs
+++ b/crates/daemon/src/gateway/placer/slowness.rs
@@ -20,34 +20,62 @@
     tokio::time::Instant,
 };
 
+/// Shortest interval at which the reports of all ranks of a group are read.
+const FULL_READ_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval at which the reports of slow ranks are read again, to notice when they recover.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time of the latest check of each group's slow ranks.
+/// Times at which the reports of a group's ranks were last read.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReadTimes {
+    all_ranks: Option<Instant>,
+    slow_ranks: Option<Instant>,
+}
+
+/// Keeps track of when the reports of each group were read.
 #[derive(Debug, Default)]
 pub(super) struct SlownessWatch {
-    checked_at: RefCell<HashMap<GroupName, Instant>>,
+    read_at: RefCell<HashMap<GroupName, ReadTimes>>,
 }
 
 impl SlownessWatch {
     /// Reads the reports of the slow ranks of a group again if that is due.
     pub(super) fn follow(&self, state: &Rc<GatewayState>, snapshot: &GroupSnapshot) {
-        if snapshot.pace.slow_ranks == 0 {
-            return;
-        }
         let now = Instant::now();
-        let mut checked_at = self.checked_at.borrow_mut();
-        let last = checked_at.insert(snapshot.name.clone(), now);
-        if let Some(last) = last.filter(|last| now < *last + RECHECK_INTERVAL) {
-            checked_at.insert(snapshot.name.clone(), last);
+        let mut read_at = self.read_at.borrow_mut();
+        let times = read_at.entry(snapshot.name.clone()).or_default();
+        if snapshot.pace.slow_ranks == 0 || !is_due(times.slow_ranks, RECHECK_INTERVAL, now) {
             return;
         }
+        times.slow_ranks = Some(now);
         let slow = slow_ranks(state, &snapshot.engines, now);
         let (state, engines) = (Rc::clone(state), Rc::clone(&snapshot.engines));
         tokio::task::spawn_local(async move {
             read_slowdowns(&state, &engines, slow.into_iter()).await;
         });
     }
+
+    /// Reads the reports of all ranks of a group, unless they were read just before.
+    pub(super) async fn check_all(&self, state: &GatewayState, engines: &GroupEngines) {
+        let now = Instant::now();
+        let is_due = {
+            let mut read_at = self.read_at.borrow_mut();
+            let times = read_at.entry(engines.group.clone()).or_default();
+            let is_due = is_due(times.all_ranks, FULL_READ_INTERVAL, now);
+            if is_due {
+                times.all_ranks = Some(now);
+            }
+            is_due
+        };
+        if is_due {
+            read_slowdowns(state, engines, 0..engines.ranks()).await;
+        }
+    }
+}
+
+fn is_due(last: Option<Instant>, interval: Duration, now: Instant) -> bool {
+    last.is_none_or(|last| now >= last + interval)
 }
 
 /// Returns the ranks that have reported a slowdown.
@@ -55,15 +83,14 @@
     let roster = state.roster.borrow();
     let ranks = 0..engines.ranks();
     let slow = ranks.filter(|rank| {
-        let key = engines.target(*rank).and_then(|id| roster.find(id));
-        let target = key.and_then(|key| roster.get(key));
+        let target = engines.target(*rank).and_then(|id| roster.find_target(id));
         target.is_some_and(|target| roster.slowdown(target, now).factor() > 1.0)
     });
     slow.collect()
 }
 
 /// Reads the slowdowns of some ranks of a group and records them.
-pub(super) async fn read_slowdowns(
+async fn read_slowdowns(
     state: &GatewayState,
     engines: &GroupEngines,
     ranks: impl Iterator<Item = RankIndex>,
@@ -72,9 +99,10 @@
     let slowdowns = futures_util::future::join_all(reads).await;
     let as_of = Instant::now();
     for (rank, slowdown) in slowdowns {
-        let key = engines.target(rank);
-        let key = key.and_then(|id| state.roster.borrow().find(id));
-        let name_hash = key.and_then(|key| Some(state.roster.borrow().get(key)?.name_hash));
+        let name_hash = engines.target(rank).and_then(|id| {
+            let roster = state.roster.borrow();
+            roster.find_target(id).map(|target| target.name_hash)
+        });
         if let (Some(target), Some(slowdown)) = (name_hash, slowdown) {
             let report = DatedSlowdown { slowdown, as_of };
             state.note_slowdown(target, report, REPORT_SOURCE);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -7,7 +7,6 @@
 
 use {
     super::{
-        admission::TargetLease,
         channels::describe_exchange,
         exchange::{AttemptError, OpenAnswer},
         reply::{CutError, ReplyBody},
@@ -24,7 +23,7 @@
     },
     sassafrasslip_platform::answer::forwarded_headers,
     std::{ops::ControlFlow, time::Duration},
-    tokio::time::{Instant, timeout_at},
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// Silence after which the stream of a target is given up if other targets of its service make
@@ -32,6 +31,10 @@
 /// hundred milliseconds to resume the stream.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
 
+/// Time in which another target must begin to answer a stream that moves to it from a slow rank. It
+/// is as long as a pass with a slow rank may take.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(1100);
+
 /// Interval at which the progress of other targets is checked again once the limit has passed.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -120,19 +123,10 @@
         // Includes the time of a move to another target, which the caller sees as a pause.
         let waiting_since = Instant::now();
         while !self.is_complete {
+            self.leave_slow_target(handler).await;
             let Some(open) = &mut self.open else {
                 return Err(self.abort(handler, "no target"));
             };
-            if self.splitter.last_id().is_some()
-                && let Some(lease) = handler.leave_slow_target(open.lease.key)
-            {
-                let error = AttemptError {
-                    blames_target: false,
-                    ..AttemptError::broken("target is slow")
-                };
-                self.resume_elsewhere(handler, &error, Some(lease)).await?;
-                continue;
-            }
             let since = Instant::now();
             match next_events(handler, open, &mut self.splitter).await {
                 Ok(Some(events)) => {
@@ -141,7 +135,7 @@
                     return Ok(Some(events));
                 }
                 Ok(None) => self.is_complete = true,
-                Err(error) => self.resume_elsewhere(handler, &error, None).await?,
+                Err(error) => self.resume_elsewhere(handler, &error).await?,
             }
         }
         if let Some(open) = self.open.take() {
@@ -163,13 +157,52 @@
         }
     }
 
-    /// Resumes the stream at another target after the last complete event, first at the target of
-    /// `lease` if there is one.
+    /// Moves the stream to another target if a slow rank holds it up. It goes on at the slow rank
+    /// until the other target has answered, so that a failed move does not end a sound stream.
+    async fn leave_slow_target(&mut self, handler: &mut RequestHandler) {
+        let (Some(open), Some(last_id)) = (&self.open, self.splitter.last_id()) else {
+            return;
+        };
+        let key = open.lease.key;
+        let Some(lease) = handler.acquire_faster_target(key) else {
+            return;
+        };
+        let last_id = String::from_utf8_lossy(last_id).into_owned();
+        let attempt = timeout(MOVE_TIMEOUT, handler.attempt_at(lease, Some(&last_id)));
+        match attempt.await {
+            Ok(Ok(open)) if is_stream(&open.parts, &open) => {
+                handler.record_left_target();
+                self.restart_at(handler, open, &last_id, "target is slow");
+            }
+            Ok(Ok(_) | Err(_)) | Err(_) => handler.return_to(key),
+        }
+    }
+
+    /// Continues the stream with the answer of another target, which begins after `last_event`.
+    fn restart_at(
+        &mut self,
+        handler: &RequestHandler,
+        open: OpenAnswer,
+        last_event: &str,
+        fault: &str,
+    ) {
+        log_event!(
+            StreamMoved,
+            request_id = handler.request_id(),
+            attempt = handler.attempts(),
+            last_event = last_event,
+            fault = fault
+        );
+        handler.state.metrics.moved_streams.inc();
+        self.splitter.restart();
+        self.open = Some(open);
+    }
+
+    /// Resumes the stream at another target after the last complete event.
     async fn resume_elsewhere(
         &mut self,
         handler: &mut RequestHandler,
         error: &AttemptError,
-        mut lease: Option<TargetLease>,
     ) -> Result<(), CutError> {
         self.open = None;
         let mut decision = handler.after_failure(error);
@@ -181,22 +214,9 @@
             return Err(self.abort(handler, "events have no id"));
         };
         while decision.is_continue() {
-            let attempt = match lease.take() {
-                Some(lease) => handler.attempt_at(lease, Some(&last_id)).await,
-                None => handler.attempt(Some(&last_id)).await,
-            };
-            decision = match attempt {
+            decision = match handler.attempt(Some(&last_id)).await {
                 Ok(open) if is_stream(&open.parts, &open) => {
-                    log_event!(
-                        StreamMoved,
-                        request_id = handler.request_id(),
-                        attempt = handler.attempts(),
-                        last_event = last_id,
-                        fault = error.fault
-                    );
-                    handler.state.metrics.moved_streams.inc();
-                    self.splitter.restart();
-                    self.open = Some(open);
+                    self.restart_at(handler, open, &last_id, &error.fault);
                     return Ok(());
                 }
                 Ok(open) => {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -307,7 +307,7 @@
 
     /// Takes a slot at another target for a stream that is held up by a slow rank; `None` if the
     /// stream stays where it is.
-    pub(super) fn leave_slow_target(&mut self, key: TargetKey) -> Option<TargetLease> {
+    pub(super) fn acquire_faster_target(&mut self, key: TargetKey) -> Option<TargetLease> {
         let objective = self.matched.route.pause_objective?;
         if self.matched.route.repeat != RepeatRule::ResumableStream
             || !self.state.is_held_up_by(key, objective)
@@ -318,6 +318,20 @@
         self.reserve_move(Instant::now()).then_some(lease)
     }
 
+    /// Records that the request has run at a target that it has left for another one.
+    pub(super) fn record_left_target(&mut self) {
+        self.has_reserved_retry = false;
+        self.runs += 1;
+    }
+
+    /// Records that the request goes on at a target after an attempt at another one has failed.
+    /// Failures are attributed to the latest target.
+    pub(super) fn return_to(&mut self, key: TargetKey) {
+        self.has_reserved_retry = false;
+        self.tried.retain(|tried| *tried != key);
+        self.tried.push(key);
+    }
+
     /// Returns whether the caller has enough time for a retry after a refusal. A caller that is
     /// already retrying has a much shorter timeout left than on its first try.
     fn can_return(&self) -> bool {
