--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 pub mod channel_plan;
 pub mod demand_window;
+pub mod dispatch_queue;
 pub mod event_stream;
 pub mod failure;
 pub mod group_watch;
@@ -19,12 +20,13 @@
 pub mod route_table;
 pub mod slow_ranks;
 pub mod target_choice;
+pub mod target_entry;
 pub mod target_health;
 pub mod target_roster;
-pub mod waiting_line;
 
 pub use {
     channel_plan::{ChannelPlan, plan_channel},
+    dispatch_queue::{DispatchQueue, WaitKey, WaitRefusal, WaitingRequest},
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step},
     group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
@@ -41,10 +43,9 @@
     },
     slow_ranks::{DatedSlowdown, SlowRanks, Slowdown},
     target_choice::{ChoiceInput, TargetChoice, choose_target},
-    target_health::TargetHealth,
-    target_roster::{
-        DirectTarget, GroupMember, GroupPace, GroupView, RosterChange, TargetEntry, TargetId,
-        TargetKey, TargetNotice, TargetRoster, TargetState,
+    target_entry::{
+        DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
     },
-    waiting_line::{DispatchQueue, WaitKey, WaitRefusal, WaitingRequest},
+    target_health::TargetHealth,
+    target_roster::{GroupPace, GroupView, RosterChange, TargetRoster},
 };
--- a/crates/core/src/dispatch/outage_plan.rs
+++ b/crates/core/src/dispatch/outage_plan.rs
@@ -11,7 +11,7 @@
 //! of one half, so a request waits as long as its latest start is at least that far away. When all
 //! ranks answer again, the group is about to form, and the age of the outage counts from then.
 
-use {super::waiting_line::WaitingRequest, std::time::Duration, tokio::time::Instant};
+use {super::dispatch_queue::WaitingRequest, std::time::Duration, tokio::time::Instant};
 
 /// A refused caller retries after at most its remaining time divided by this number, even if it is
 /// told to wait longer.
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -9,7 +9,10 @@
 //! multiple, so that it gets none while another rank of the service is usable.
 
 use {
-    super::target_roster::{DirectTarget, TargetKey, TargetRoster},
+    super::{
+        target_entry::{DirectTarget, TargetKey},
+        target_roster::TargetRoster,
+    },
     crate::ids::{GroupName, ServiceName, ZoneName},
     std::collections::{HashMap, HashSet},
     tokio::time::Instant,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -9,7 +9,7 @@
 pub mod engines;
 pub mod exchange;
 pub mod group_bounds;
-pub mod group_looks;
+pub mod group_probes;
 pub mod head_guard;
 pub mod metrics;
 pub mod peers;
@@ -76,7 +76,7 @@
     tokio::task::spawn_local(refresh::follow_targets(Rc::clone(&state), store));
     tokio::task::spawn_local(peers::exchange_loads(Rc::clone(&state), loads));
     tokio::task::spawn_local(placer::follow_groups(Rc::clone(&state)));
-    tokio::task::spawn_local(group_looks::probe_broken_groups(Rc::clone(&state)));
+    tokio::task::spawn_local(group_probes::probe_broken_groups(Rc::clone(&state)));
     tokio::task::spawn_local(peers::serve_snapshots(Rc::clone(&state), snapshots));
     tokio::task::spawn_local(peers::poll_peers(Rc::clone(&state)));
     tokio::task::spawn_local(reload::reload_on_hangup(arguments, options));
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -11,34 +11,36 @@
 mod demand;
 mod recovery;
 mod slowness;
+mod snapshot;
 
 use {
     self::{
         demand::sample,
         recovery::{free_if_held, is_stalled},
         slowness::SlownessWatch,
+        snapshot::{GroupSnapshot, snapshots},
     },
     super::{engines::GroupEngines, state::GatewayState},
     futures_util::future::{Either, select},
     sassafrasslip_core::{
         dispatch::{
-            DirectTarget, EngineProfile, ExpertProfile, GroupMember, GroupPace, PassPace,
-            RankStatus, RouteTable, Slowdown, SwitchResult, TargetId,
+            EngineProfile, ExpertProfile, PassPace, RankStatus, RouteTable, Slowdown, SwitchResult,
+            TargetId,
             demand_window::DemandWindow,
-            map_plan::{PassLoad, PlanFigures, pass_is_slow, plan_change, tolerated_excess},
+            map_plan::{PlanFigures, pass_is_slow, plan_change, tolerated_excess},
             map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS, version_after},
             pass_to_hold,
             peer_table::STEADY_AFTER,
             switch_map,
         },
         events::LogEvent::{MapPlanned, MapSwitched},
-        ids::{GroupName, ServiceName},
+        ids::GroupName,
         log_event,
         placement::{ExpertCounts, ExpertMap},
     },
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::HashMap,
         net::{Ipv4Addr, SocketAddr},
         pin::pin,
         rc::Rc,
@@ -99,18 +101,6 @@
     placer_bits: u64,
 }
 
-/// State of a group at the time of a review, as this gateway knows it.
-struct GroupSnapshot {
-    name: GroupName,
-    service: ServiceName,
-    epoch: u64,
-    engines: Rc<GroupEngines>,
-    in_flight: u32,
-    pace: GroupPace,
-    progress_at: Option<Instant>,
-    has_own_requests: bool,
-}
-
 /// Reviews all groups at a fixed interval until the process ends: frees groups that were left held,
 /// and changes the maps of slow groups that this gateway places.
 pub async fn follow_groups(state: Rc<GatewayState>) {
@@ -278,71 +268,6 @@
     }
 }
 
-/// Returns the state of all groups that run and of which every rank is known, in one iteration over
-/// the targets. Draining ranks are included, because they take part in each pass until they leave.
-fn snapshots(state: &GatewayState, placer: &Placer) -> Vec<GroupSnapshot> {
-    let roster = state.roster.borrow();
-    let mut ranks: BTreeMap<&GroupName, Vec<(&GroupMember, &DirectTarget)>> = BTreeMap::new();
-    for (_, target) in roster.iter() {
-        if let Some(member) = &target.entry.group {
-            ranks
-                .entry(&member.name)
-                .or_default()
-                .push((member, target));
-        }
-    }
-    let views = roster.groups();
-    let snapshots = ranks.into_iter().filter_map(|(name, ranks)| {
-        let view = views.get(name).filter(|view| view.is_open)?;
-        let pace = roster.group_pace(name, Instant::now());
-        GroupSnapshot::gather(placer, name, view.epoch, pace, ranks)
-    });
-    snapshots.collect()
-}
-
-impl GroupSnapshot {
-    /// Gathers the state of a group; `None` unless every rank is known.
-    fn gather(
-        placer: &Placer,
-        name: &GroupName,
-        epoch: u64,
-        pace: GroupPace,
-        mut ranks: Vec<(&GroupMember, &DirectTarget)>,
-    ) -> Option<Self> {
-        // Requests at a target whose rank another target has taken over are still in flight.
-        let in_flight = ranks.iter().map(|(_, target)| target.in_flight()).sum();
-        ranks.retain(|(_, target)| !target.is_superseded);
-        ranks.sort_by_key(|(member, _)| member.rank);
-        let (first, target) = *ranks.first()?;
-        let numbers = ranks.iter().map(|(member, _)| member.rank);
-        if !numbers.eq(0..first.size) {
-            return None;
-        }
-        let targets = || ranks.iter().map(|(_, target)| target);
-        let endpoints = targets().map(|target| (&target.entry.id, target.entry.address));
-        Some(Self {
-            name: name.clone(),
-            service: target.entry.service.clone(),
-            epoch,
-            engines: placer.engines(name, epoch, endpoints),
-            in_flight,
-            pace,
-            progress_at: targets().filter_map(|target| target.progress_at).max(),
-            has_own_requests: targets().any(|target| target.own_in_flight > 0),
-        })
-    }
-}
-
-impl GroupSnapshot {
-    fn load(&self, table: &RouteTable) -> PassLoad {
-        PassLoad {
-            ranks: self.engines.ranks(),
-            in_flight: self.in_flight,
-            pause_objective: table.pause_objective(&self.service),
-        }
-    }
-}
-
 /// Returns whether this gateway is the placer of a group. Rendezvous hashing over the eligible
 /// gateways decides; settled gateways are preferred, and leaving ones are excluded.
 fn is_placer(state: &GatewayState, name: &GroupName) -> bool {
