Sample the demand again while the same ranks stay slow

Change: only another set of slow ranks counts as a change. The test of the decision fails with the comparison of all weights.

--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -183,6 +183,14 @@
     Some((planned, figures))
 }
 
+/// Returns whether other ranks are slow than before, given the speed of each rank before and now. A
+/// slowdown that varies is no change: the map has been planned for it, and long passes then have
+/// another cause.
+pub fn slow_ranks_changed(before: &[f64], now: &[f64]) -> bool {
+    let is_slow = |weight: &f64| *weight < 1.0;
+    !before.iter().map(is_slow).eq(now.iter().map(is_slow))
+}
+
 /// Returns the number of experts that a rank may load for one change, at least 1.
 fn loads_within_budget(experts: &ExpertProfile) -> usize {
     let load_time = experts.load_time.as_secs_f64().max(f64::MIN_POSITIVE);
--- a/crates/core/tests/slow_ranks.rs
+++ b/crates/core/tests/slow_ranks.rs
@@ -6,7 +6,9 @@
         dispatch::{
             ChoiceInput, DatedSlowdown, EngineProfile, ExpertProfile, GroupMember, PassModel,
             SlowRanks, Slowdown, TargetChoice, TargetEntry, TargetRoster, TargetState,
-            choose_target, map_plan::plan_change, slow_ranks::MAX_SLOWDOWN,
+            choose_target,
+            map_plan::{plan_change, slow_ranks_changed},
+            slow_ranks::MAX_SLOWDOWN,
         },
         placement::{ExpertCounts, ExpertMap},
     },
@@ -183,6 +185,15 @@
     slow_rank_at_twelve_times: (12.0);
 }
 
+/// While a rank stays slow, its reported slowdown varies. If that counted as a change, the demand
+/// would not be sampled again, and a shift in that time would go unnoticed.
+#[test]
+fn varying_slowdown_is_no_change_of_the_slow_ranks() {
+    assert!(!slow_ranks_changed(&weights(6.8), &weights(6.2)));
+    assert!(slow_ranks_changed(&weights(1.0), &weights(6.8)));
+    assert!(slow_ranks_changed(&weights(6.8), &weights(1.0)));
+}
+
 #[test]
 fn recovered_rank_gets_requests_again() {
     let now = Instant::now();
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -27,7 +27,9 @@
             EngineProfile, ExpertProfile, PassPace, RankStatus, RouteTable, Slowdown, SwitchResult,
             TargetId,
             demand_window::DemandWindow,
-            map_plan::{PlanFigures, pass_is_slow, plan_change, tolerated_excess},
+            map_plan::{
+                PlanFigures, pass_is_slow, plan_change, slow_ranks_changed, tolerated_excess,
+            },
             map_switch::{HOLDING_RANKS, RankControl, VERSION_PLACER_BITS, version_after},
             pass_to_hold,
             peer_table::STEADY_AFTER,
@@ -431,7 +433,7 @@
         let weights = rank_weights(state, engines);
         let groups = placer.groups.borrow();
         let group = groups.get(&snapshot.name)?;
-        if group.weights == weights {
+        if !slow_ranks_changed(&group.weights, &weights) {
             return None;
         }
         Some((group.demand.latest()?.clone(), weights))
