Name prompt parts and teams in the lines of failed attempts

It now has the hashes of the shared prompt parts, the team, and whether the target had sent events. The platform adapter decodes the parts of a prompt except the last one, which belongs to one request.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -15,6 +15,7 @@
 pub mod pass_governor;
 pub mod pass_model;
 pub mod peer_table;
+pub mod prompt_part;
 pub mod rank_status;
 pub mod retry_allowance;
 pub mod route_table;
@@ -35,6 +36,7 @@
     pass_governor::{GroupLoad, PassGovernor, StartPacer},
     pass_model::PassModel,
     peer_table::{PeerReport, PeerTable},
+    prompt_part::PromptPart,
     rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
     retry_allowance::RetryAllowance,
     route_table::{
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -277,7 +277,7 @@
             return Err(AttemptError::broken("event exceeds the size limit"));
         }
         if !events.is_empty() {
-            handler.state.record_progress(key, Instant::now());
+            handler.record_progress(key, Instant::now());
             return Ok(Some(events));
         }
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -16,7 +16,7 @@
         dispatch::{
             AttemptFailure, FailureContext, NextStep, RepeatRule, RouteMatch, RouteMiss,
             RouteTable, TargetId, TargetKey, WaitingRequest, decide_next_step,
-            failure::MAX_ARRIVALS,
+            failure::MAX_ARRIVALS, prompt_part::list_parts,
         },
         events::LogEvent::{
             AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
@@ -147,6 +147,8 @@
     pub(super) first_event: Option<Duration>,
     /// Longest pause between events of the stream so far.
     pub(super) longest_pause: Duration,
+    /// Whether the latest attempt has brought an event of a stream.
+    has_begun: bool,
     /// Whether the outcome has been counted and logged.
     has_outcome: bool,
 }
@@ -197,6 +199,7 @@
             has_reserved_retry: false,
             first_event: None,
             longest_pause: Duration::ZERO,
+            has_begun: false,
             has_outcome: false,
         }
     }
@@ -287,6 +290,7 @@
             self.state.metrics.retries.inc();
         }
         self.attempts += 1;
+        self.has_begun = false;
         let key = lease.key;
         self.tried.push(key);
         let input = AttemptInput {
@@ -324,10 +328,17 @@
         self.runs += 1;
     }
 
+    /// Records that a target has sent events of the stream at `now`.
+    pub(super) fn record_progress(&mut self, key: TargetKey, now: Instant) {
+        self.has_begun = true;
+        self.state.record_progress(key, now);
+    }
+
     /// Records that the request goes on at a target after an attempt at another one has failed.
     /// Failures are attributed to the latest target.
     pub(super) fn return_to(&mut self, key: TargetKey) {
         self.has_reserved_retry = false;
+        self.has_begun = true;
         self.tried.retain(|tried| *tried != key);
         self.tried.push(key);
     }
@@ -411,6 +422,13 @@
             target = name.as_deref().unwrap_or("left"),
             failure = format_args!("{:?}", error.failure),
             fault = error.fault,
+            begun = self.has_begun,
+            parts = list_parts(&self.caller.shared_parts),
+            team = self
+                .matched
+                .team
+                .as_ref()
+                .map_or("", |team| team.name.as_str()),
             cause = error.faulty_target.as_deref().unwrap_or_default(),
             next = format_args!("{next:?}")
         );
