Refuse requests with prompt parts that crash targets

Cause: a gateway took a crash for a fault of the target alone. It blamed the target and sent the request that had crashed it to the next one; nothing recorded which requests a target had not begun to answer when it crashed, and no gateway told another. The class of fault is a request that fails its server and is retried, as with any input that is blamed on the worker.

Change: a closed connection before the first event is followed by a check whether the target refuses connections. If it does, the shared prompt parts of the requests that it had not begun to answer are suspects of that crash. Load reports carry crashes, answers and quarantines, so that all gateways put the same observations together (core/dispatch/part_quarantine.rs): - an answer clears a suspect, before the crash or after it; - the only suspect that is left is refused for 30 s, several of them are told apart by single trial requests; - a part that is common to two incidents, and to more crashes than any other, is refused for 60 s, doubling with each further one; one gateway then sends trial requests, and an answer ends the quarantine everywhere. Requests with such a part are refused at once with Retry-After, also those that wait in a queue, and are not retried.

Ruled out: the team (its other requests are answered) and load after an opening (the other requests at a crash have no part in common).

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,6 +12,7 @@
 pub mod map_plan;
 pub mod map_switch;
 pub mod outage_plan;
+pub mod part_quarantine;
 pub mod pass_governor;
 pub mod pass_model;
 pub mod peer_table;
@@ -33,6 +34,10 @@
     group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     outage_plan::{OutageStep, decide_during_outage},
+    part_quarantine::{
+        CrashId, CrashReport, PartChange, PartProof, PartQuarantine, PartRestriction,
+        QuarantinedPart,
+    },
     pass_governor::{GroupLoad, PassGovernor, StartPacer},
     pass_model::PassModel,
     peer_table::{PeerReport, PeerTable},
--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -159,6 +159,12 @@
         serving.map(|(address, _)| *address)
     }
 
+    /// Returns whether this gateway, at the address `own`, is the first of the live gateways that
+    /// accept requests, so that it acts for all of them.
+    pub fn is_first(&self, own: Ipv4Addr, now: Instant) -> bool {
+        self.serving(now).all(|address| own < address)
+    }
+
     /// Returns whether a live peer that accepts requests has run long enough to change expert maps.
     pub fn has_settled(&self, now: Instant) -> bool {
         self.serving_peers(now).any(|(_, peer)| peer.report.settled)
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -75,6 +75,8 @@
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
     3004 GroupBounded Info "bound on the requests of a group changed";
+    3005 PartQuarantined Warn "requests with a prompt part that crashes targets are refused";
+    3006 PartReleased Info "prompt part that was refused is accepted again";
     4001 RevisionApplied Info "configuration revision applied";
     4002 RevisionIgnored Warn "older configuration revision ignored";
     4003 ChangeAccepted Info "configuration change accepted";
@@ -127,6 +129,7 @@
     7015 TargetSlow Warn "target is slow and gets no new requests";
     7016 TargetRecovered Info "slow target has recovered";
     7017 SlowdownUnreadable Warn "status report of a target has no usable slowdown";
+    7018 TargetCrashed Warn "target crashed before it began to answer a request";
     8001 PlatformUnavailable Warn "platform call failed";
     8002 PlatformRecovered Info "platform calls succeed again";
 }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,6 +12,8 @@
 pub mod group_probes;
 pub mod head_guard;
 pub mod metrics;
+pub mod part_news;
+pub mod part_watch;
 pub mod peers;
 pub mod placer;
 pub mod readiness;
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -10,7 +10,10 @@
         state::GatewayState,
     },
     bytes::{Bytes, BytesMut},
-    http::{request, response},
+    http::{
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+        request, response,
+    },
     http_body_util::{BodyExt, Full},
     hyper::{
         Request,
@@ -56,6 +59,8 @@
     pub failure: AttemptFailure,
     /// Whether the failure counts against the target's health.
     pub blames_target: bool,
+    /// Whether the connection ended before the response did.
+    pub is_closed: bool,
     /// Name of the target that the response reports as the cause; `None` if it names none.
     pub faulty_target: Option<String>,
     /// Description of the failure, for logs.
@@ -69,11 +74,21 @@
         Self {
             failure: AttemptFailure::MayHaveRun,
             blames_target: true,
+            is_closed: false,
             faulty_target: None,
             fault: fault.into(),
         }
     }
 
+    /// Creates the error of a connection that ended before the response did. The request may have
+    /// run, and the target is blamed.
+    pub fn closed(fault: impl Into<String>) -> Self {
+        Self {
+            is_closed: true,
+            ..Self::broken(fault)
+        }
+    }
+
     /// Creates the error of a request of which no byte was sent, so that it has not run. The target
     /// is blamed, for example because it cannot be reached.
     pub fn unsent(fault: impl Into<String>) -> Self {
@@ -168,7 +183,7 @@
         while let Some(bytes) = self
             .next()
             .await
-            .map_err(|error| AttemptError::broken(describe_exchange(&error)))?
+            .map_err(|error| AttemptError::closed(describe_exchange(&error)))?
         {
             buffered.add(bytes.len());
             if buffered.bytes > max_bytes {
@@ -184,6 +199,13 @@
         Ok(whole.freeze())
     }
 
+    /// Returns whether only the end of the connection ends the response, so that a response that is
+    /// cut off is not recognized by its framing.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.parts.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the connection to the pool, if it may be reused, after the body was read to its end.
     pub fn finish(self, state: &GatewayState) {
         if self.is_poolable {
@@ -279,6 +301,7 @@
         let error = AttemptError {
             failure: AttemptFailure::NotRun,
             blames_target: head.is_misdirected,
+            is_closed: false,
             faulty_target: head.faulty_target.clone(),
             fault: format!("target rejected the request with {status}"),
         };
@@ -320,7 +343,7 @@
 
 fn channel_error(error: ChannelError, was_used: bool) -> AttemptError {
     if error.may_have_left {
-        AttemptError::broken(error.fault)
+        AttemptError::closed(error.fault)
     } else {
         // Targets may close idle connections at any time, so a closed pooled connection does not
         // count against the target's health.
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -42,6 +42,10 @@
     pub ejections: Counter,
     /// Connections opened to targets for requests.
     pub channels: Counter,
+    /// Requests of this gateway whose target crashed before it began to answer.
+    pub crashes: Counter,
+    /// Prompt parts in quarantine because they crash targets.
+    pub quarantined_parts: Gauge,
     /// Changes of expert maps that this gateway has completed as the placer.
     pub map_changes: Counter,
     /// Failed calls to the platform's store.
@@ -69,6 +73,8 @@
             moved_streams: Counter::default(),
             ejections: Counter::default(),
             channels: Counter::default(),
+            crashes: Counter::default(),
+            quarantined_parts: Gauge::default(),
             map_changes: Counter::default(),
             store_failures: Counter::default(),
             waiting: Gauge::default(),
@@ -112,6 +118,18 @@
                 "Connections opened to targets",
                 channels,
             );
+            let crashes = metrics.crashes.clone();
+            registry.register(
+                "gateway_crashes",
+                "Requests whose target crashed before it began to answer",
+                crashes,
+            );
+            let parts = metrics.quarantined_parts.clone();
+            registry.register(
+                "gateway_quarantined_parts",
+                "Prompt parts in quarantine",
+                parts,
+            );
             let changes = metrics.map_changes.clone();
             registry.register("gateway_map_changes", "Changes of expert maps", changes);
             registry.register(
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -7,7 +7,10 @@
 //! All gateways use the same ports, so that an IP address alone identifies a gateway.
 
 use {
-    super::state::{GatewayState, ipv4},
+    super::{
+        part_news,
+        state::{GatewayState, ipv4},
+    },
     crate::listen,
     bytes::{Bytes, BytesMut},
     error_stack::{Report, ResultExt},
@@ -194,6 +197,7 @@
     for address in gone {
         log_event!(PeerChanged, peer = address, state = "gone");
     }
+    state.drop_outdated_crashes(now);
     state.update_peer_loads(now);
 }
 
@@ -222,6 +226,7 @@
             .slowdown_news(now)
             .map(|(target, report)| slowdown_record(target, &report, now))
             .collect(),
+        ..part_news::encode(&state.quarantine.borrow(), now)
     }
 }
 
@@ -305,6 +310,7 @@
     for record in &report.slowdowns {
         note_slowdown(state, record, now);
     }
+    part_news::apply(state, &report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
     let own = state.own_address();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -205,7 +205,7 @@
         error: &AttemptError,
     ) -> Result<(), CutError> {
         self.open = None;
-        let mut decision = handler.after_failure(error);
+        let mut decision = handler.after_failure(error).await;
         if handler.matched.route.repeat != RepeatRule::ResumableStream {
             return Err(self.abort(handler, "stream cannot be resumed"));
         }
@@ -222,7 +222,7 @@
                 Ok(open) => {
                     let fault = format!("target answered {} to a resumption", open.parts.status);
                     drop(open);
-                    handler.after_failure(&AttemptError::broken(fault))
+                    handler.after_failure(&AttemptError::broken(fault)).await
                 }
                 Err(decision) => decision,
             };
@@ -266,10 +266,13 @@
         let read = read_with_silence_limit(handler, open, silent_since).await?;
         let Some(bytes) = read else {
             if splitter.pending_bytes() > 0 {
-                return Err(AttemptError::broken(
+                return Err(AttemptError::closed(
                     "stream ends in the middle of an event",
                 ));
             }
+            if open.ends_with_connection() && !handler.has_begun() {
+                return Err(AttemptError::closed("stream ends before its first event"));
+            }
             return Ok(None);
         };
         let events = splitter.push(&bytes);
@@ -297,7 +300,7 @@
         let until = check_at.min(handler.deadline);
         match timeout_at(until, open.next()).await {
             Ok(Ok(bytes)) => return Ok(bytes),
-            Ok(Err(error)) => return Err(AttemptError::broken(describe_exchange(&error))),
+            Ok(Err(error)) => return Err(AttemptError::closed(describe_exchange(&error))),
             Err(_) => {}
         }
         let now = Instant::now();
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -14,8 +14,8 @@
     hyper::{Request, Response, body::Incoming},
     sassafrasslip_core::{
         dispatch::{
-            AttemptFailure, FailureContext, NextStep, RepeatRule, RouteMatch, RouteMiss,
-            RouteTable, TargetId, TargetKey, WaitingRequest, decide_next_step,
+            AttemptFailure, FailureContext, NextStep, PartRestriction, RepeatRule, RouteMatch,
+            RouteMiss, RouteTable, TargetId, TargetKey, WaitingRequest, decide_next_step,
             failure::MAX_ARRIVALS, prompt_part::list_parts,
         },
         events::LogEvent::{
@@ -231,7 +231,7 @@
             if is_stream && self.matched.route.repeat.is_stream() {
                 match relay::start(&mut self, open).await {
                     Ok(started) => return started.into_response(self),
-                    Err(error) => match self.after_failure(&error) {
+                    Err(error) => match self.after_failure(&error).await {
                         ControlFlow::Continue(()) => continue,
                         ControlFlow::Break(answer) => return self.finish_failed(answer, failure),
                     },
@@ -263,10 +263,14 @@
             waiting_request: self.waiting_request(),
             tried: self.tried.clone(),
         };
-        let lease = match admission::acquire(&self.state, request).await {
-            Ok(lease) => lease,
-            Err(refusal) => return Err(ControlFlow::Break(self.refused(&refusal))),
+        let acquired = tokio::select! {
+            biased;
+            restriction = self.state.wait_for_restriction(&self.caller.shared_parts) => {
+                return Err(ControlFlow::Break(self.restricted(&restriction)));
+            }
+            acquired = admission::acquire(&self.state, request) => acquired,
         };
+        let lease = acquired.map_err(|refusal| ControlFlow::Break(self.refused(&refusal)))?;
         self.attempt_at(lease, resume_after).await
     }
 
@@ -282,6 +286,8 @@
         resume_after: Option<&str>,
     ) -> Result<OpenAnswer, ControlFlow<LocalReply>> {
         let now = Instant::now();
+        let started = self.state.start_parts(&self.caller.shared_parts, now);
+        started.map_err(|restriction| ControlFlow::Break(self.restricted(&restriction)))?;
         if self.first_sent_at.is_none() {
             self.first_sent_at = Some(now);
             let waited = now.saturating_duration_since(self.arrived_at);
@@ -305,8 +311,10 @@
             deadline: self.deadline,
             head_until: self.head_until(now),
         };
-        let sent = exchange::send(&self.state, lease, &input).await;
-        sent.map_err(|error| self.after_failure(&error))
+        match exchange::send(&self.state, lease, &input).await {
+            Ok(open) => Ok(open),
+            Err(error) => Err(self.after_failure(&error).await),
+        }
     }
 
     /// Takes a slot at another target for a stream that is held up by a slow rank; `None` if the
@@ -328,9 +336,16 @@
         self.runs += 1;
     }
 
+    /// Returns whether the latest attempt has brought an event of a stream.
+    pub(super) fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     /// Records that a target has sent events of the stream at `now`.
     pub(super) fn record_progress(&mut self, key: TargetKey, now: Instant) {
-        self.has_begun = true;
+        if !mem::replace(&mut self.has_begun, true) {
+            self.state.record_answer(&self.caller.shared_parts, now);
+        }
         self.state.record_progress(key, now);
     }
 
@@ -393,7 +408,10 @@
 
     /// Records a failed attempt and decides the next step: another attempt, or the response that
     /// ends the request.
-    pub(super) fn after_failure(&mut self, error: &AttemptError) -> ControlFlow<LocalReply> {
+    pub(super) async fn after_failure(&mut self, error: &AttemptError) -> ControlFlow<LocalReply> {
+        if error.is_closed && !self.has_begun {
+            self.check_crash().await;
+        }
         let now = Instant::now();
         if error.failure == AttemptFailure::MayHaveRun {
             self.runs += 1;
@@ -403,6 +421,8 @@
             self.note_failure(key, error, now);
         }
         let is_late = now >= self.deadline;
+        let parts = &self.caller.shared_parts;
+        let restriction = self.state.part_restriction(parts, now);
         let has_reserved = mem::take(&mut self.has_reserved_retry);
         let route = &self.matched.route;
         let context = FailureContext {
@@ -411,6 +431,7 @@
             arrivals: self.attempts,
             run_limit: route.attempts,
             has_budget: !is_late
+                && restriction.is_none()
                 && (has_reserved || self.state.try_spend_retry(&self.service, now)),
         };
         let next = decide_next_step(error.failure, &context);
@@ -435,6 +456,9 @@
         match next {
             NextStep::Retry => ControlFlow::Continue(()),
             NextStep::RefuseNotRun => {
+                if let Some(restriction) = restriction {
+                    return ControlFlow::Break(self.restricted(&restriction));
+                }
                 ControlFlow::Break(LocalReply::not_run("targets rejected it", RETRY_DELAY))
             }
             NextStep::ReportUnknown if is_late => {
@@ -469,6 +493,23 @@
         roster.get(key).map(|target| target.entry.id.clone())
     }
 
+    /// Checks whether the target of the latest attempt has crashed, which makes the shared parts of
+    /// the prompt suspects.
+    async fn check_crash(&self) {
+        let parts = &self.caller.shared_parts;
+        if let Some(key) = self.tried.last().filter(|_| !parts.is_empty()) {
+            self.state.check_crash(*key, self.request_id(), parts).await;
+        }
+    }
+
+    fn restricted(&self, restriction: &PartRestriction) -> LocalReply {
+        let reason = "a part of the prompt crashes targets";
+        if self.runs > 0 {
+            return LocalReply::unknown(StatusCode::BAD_GATEWAY, reason);
+        }
+        LocalReply::not_run(reason, restriction.retry_after)
+    }
+
     fn refused(&self, refusal: &AdmissionRefusal) -> LocalReply {
         if self.runs > 0 {
             return LocalReply::unknown(StatusCode::BAD_GATEWAY, "no other target in time");
@@ -484,7 +525,10 @@
         let key = open.lease.key;
         let until = self.head_until(Instant::now());
         let collected = open.collect(&self.state, until).await;
-        let (parts, body) = collected.map_err(|error| self.after_failure(&error))?;
+        let (parts, body) = match collected {
+            Ok(collected) => collected,
+            Err(error) => return Err(self.after_failure(&error).await),
+        };
         let status = parts.status;
         let mut response = Response::new(ReplyBody::Whole(Full::from(body)));
         *response.headers_mut() = forwarded_headers(&parts.headers);
@@ -496,11 +540,15 @@
                 blames_target: false,
                 ..AttemptError::broken(format!("target failed with {status}"))
             };
-            if self.after_failure(&error).is_continue() {
+            if self.after_failure(&error).await.is_continue() {
                 return Ok(ControlFlow::Continue(response));
             }
         } else {
             self.state.record_success(key);
+            if status.is_success() {
+                let parts = &self.caller.shared_parts;
+                self.state.record_answer(parts, Instant::now());
+            }
             let elapsed = self.sent_at().elapsed();
             self.state.record_first_answer(&self.service, elapsed);
         }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -14,8 +14,8 @@
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            DatedSlowdown, DatedView, GroupLoad, PeerTable, RetryAllowance, RosterChange,
-            RouteRule, RouteTable, Slowdown, TargetEntry, TargetKey, TargetRoster,
+            DatedSlowdown, DatedView, GroupLoad, PartQuarantine, PeerTable, RetryAllowance,
+            RosterChange, RouteRule, RouteTable, Slowdown, TargetEntry, TargetKey, TargetRoster,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, TableApplied, TableOutdated, TargetEjected, TargetHeldOff,
@@ -25,6 +25,7 @@
         log_event,
     },
     sassafrasslip_platform::AnswerHead,
+    slotmap::SecondaryMap,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -81,8 +82,15 @@
     pub peers: RefCell<PeerTable>,
     /// Whether the next load report must name the known gateways, because a new one has reported.
     pub gossip_due: Cell<bool>,
-    /// Notified when a load report must be sent immediately, because the state of a group changed.
+    /// Notified when a load report must be sent immediately, because of news that matter to all
+    /// gateways, such as a changed state of a group.
     pub group_news: Notify,
+    /// Crashes of targets, and the prompt parts that cause them.
+    pub quarantine: RefCell<PartQuarantine>,
+    /// Notified when the restrictions of prompt parts may have changed.
+    pub part_news: Notify,
+    /// Times at which targets were last found running after they had closed a connection.
+    pub checked_at: RefCell<SecondaryMap<TargetKey, Instant>>,
     /// Encoded configuration in force, which is sent to peers that ask for it.
     pub document: RefCell<Bytes>,
     /// Limits on the requests in flight in model groups.
@@ -130,6 +138,9 @@
             peers: RefCell::default(),
             gossip_due: Cell::new(false),
             group_news: Notify::new(),
+            quarantine: RefCell::default(),
+            part_news: Notify::new(),
+            checked_at: RefCell::default(),
             document: RefCell::default(),
             bounds: RefCell::default(),
             started_at: Instant::now(),
