Keep the rate of requests that a target names as its limit

Cause: no part of the gateway read the header, and the choice of a target knew requests in flight but no rate.

Change: the answer decoder reads the limit; core/dispatch/request_limits.rs keeps it by target. Each gateway sends an equal part of 0.8 of it, evenly spaced from a random moment on, so that gateways need not ask each other. Limits and their ends go out in load reports at once, a later answer without the header ends a limit, and one without news is forgotten after 30 s. If all targets of a service have limits, the queue refuses at once what they leave no time for. Events 7019 and 7020.

Ruled out: gateways that keep the limit one by one, or late; the rate did not change at any of them.

DispatchQueue::refuse_unservable has a new argument, so that two calls in worst_load.rs pass None; they assert the same.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -18,6 +18,7 @@
 pub mod peer_table;
 pub mod prompt_part;
 pub mod rank_status;
+pub mod request_limits;
 pub mod retry_allowance;
 pub mod route_table;
 pub mod slow_ranks;
@@ -43,13 +44,14 @@
     peer_table::{PeerReport, PeerTable},
     prompt_part::PromptPart,
     rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
+    request_limits::{FleetShare, LimitNews, RequestLimits, RequestRate, StartPace},
     retry_allowance::RetryAllowance,
     route_table::{
         CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule,
         RouteTable, ServiceRule, TeamRule,
     },
     slow_ranks::{DatedSlowdown, SlowRanks, Slowdown},
-    target_choice::{ChoiceInput, TargetChoice, choose_target},
+    target_choice::{ChoiceInput, TargetChoice, choose_target, start_pace},
     target_entry::{
         DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
     },
--- a/crates/core/src/dispatch/dispatch_queue.rs
+++ b/crates/core/src/dispatch/dispatch_queue.rs
@@ -6,6 +6,7 @@
 //! request that cannot start before its caller leaves is refused as soon as that is known.
 
 use {
+    super::request_limits::StartPace,
     slotmap::{SlotMap, new_key_type},
     std::time::Duration,
     tokio::time::Instant,
@@ -23,6 +24,10 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(300), Duration::from_millis(2600));
 
+/// Longest expected wait, in seconds, so that adding it to a clock time cannot overflow. No caller
+/// waits as long.
+const MAX_WAIT_SECONDS: f64 = 3600.0;
+
 /// Priority and time limits of a waiting request.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingRequest {
@@ -121,18 +126,30 @@
         self.last_start = (!self.waiters.is_empty()).then_some(now);
     }
 
-    /// Removes the requests that cannot start before their callers leave if starts go on at the
-    /// mean interval, and returns them with the time after which each caller may retry.
-    pub fn refuse_unservable(&mut self, now: Instant) -> Vec<(WaitKey, WaitRefusal)> {
-        let interval = self.start_interval.filter(|_| self.last_start.is_some());
+    /// Removes the requests that cannot start before their callers leave, and returns them with the
+    /// time after which each caller may retry. Starts are expected to go on at the mean interval,
+    /// or at `pace` if that is slower.
+    pub fn refuse_unservable(
+        &mut self,
+        pace: Option<StartPace>,
+        now: Instant,
+    ) -> Vec<(WaitKey, WaitRefusal)> {
+        let measured = self.start_interval.filter(|_| self.last_start.is_some());
+        let measured = measured.unwrap_or_default();
+        let interval = pace.map_or(measured, |pace| measured.max(pace.interval.as_secs_f64()));
+        let next_at = pace.map_or(now, |pace| now.max(pace.next_at));
         let mut refused = Vec::new();
         let mut position = 0;
         for key in self.order(now) {
             let request = self.waiters[key].request;
-            let wait = interval.map_or(0.0, |interval| interval * position as f64);
-            let starts_at = now + Duration::from_secs_f64(wait.min(3600.0));
+            let wait = (interval * position as f64).min(MAX_WAIT_SECONDS);
+            let starts_at = next_at + Duration::from_secs_f64(wait);
             if starts_at > request.start_until {
-                let retry_after = self.retry_after(position);
+                let expected = (starts_at - now).clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+                let retry_after = match pace {
+                    Some(_) => expected,
+                    None => self.retry_after(position),
+                };
                 refused.push((
                     key,
                     WaitRefusal {
@@ -154,7 +171,8 @@
     /// retry: the time in which those are expected to start, within the bounds for such times.
     pub fn retry_after(&self, position: usize) -> Duration {
         let seconds = self.start_interval.unwrap_or_default() * position as f64;
-        Duration::from_secs_f64(seconds.min(3600.0)).clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+        Duration::from_secs_f64(seconds.min(MAX_WAIT_SECONDS))
+            .clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
     }
 }
 
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -10,6 +10,7 @@
 
 use {
     super::{
+        request_limits::{FleetShare, StartPace},
         target_entry::{DirectTarget, TargetKey},
         target_roster::TargetRoster,
     },
@@ -56,7 +57,8 @@
 pub enum TargetChoice {
     /// The request is sent to this target.
     Chosen(TargetKey),
-    /// All usable targets, or their groups, have reached their limits.
+    /// All usable targets, or their groups, have reached their limits on requests in flight or on
+    /// the rate of requests.
     Full,
     /// The request has already been sent to every target that accepts requests.
     Exhausted,
@@ -94,6 +96,7 @@
             && !input.tried.contains(key)
             && target.in_flight() < slots(target)
             && !summary.is_full(target, input)
+            && roster.admits(target, now)
     });
     let scored: Vec<_> = free
         .map(|(key, target)| (key, score(target, input)))
@@ -121,6 +124,19 @@
     }
 }
 
+/// Returns the pace at which this gateway may start requests to a service; `None` if a usable target
+/// has no limit on the rate of requests, or none is usable.
+pub fn start_pace(
+    roster: &TargetRoster,
+    service: &ServiceName,
+    share: FleetShare,
+    now: Instant,
+) -> Option<StartPace> {
+    let usable = roster.of_service(service).map(|(_, target)| target);
+    let usable = usable.filter(|target| target.takes_work() && is_usable(target, now));
+    roster.limited_pace(usable, share, now)
+}
+
 /// Totals over all targets of a service that accept requests.
 #[derive(Debug, Default)]
 struct ServiceSummary<'a> {
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
+        request_limits::{FleetShare, LimitNews, RequestLimits, RequestRate, StartPace},
         slow_ranks::{DatedSlowdown, SlowRanks, Slowdown, usual_slowdown},
         target_entry::{DirectTarget, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState},
         target_health::TargetHealth,
@@ -100,6 +101,8 @@
     watch: GroupWatch,
     /// Slowdowns that ranks have reported.
     slow_ranks: SlowRanks,
+    /// Limits on the rate of requests that targets have named.
+    limits: RequestLimits,
     /// Notices of targets that are no longer listed.
     notices: HashMap<TargetId, KeptNotice>,
     /// Time at which the list could be read again after an outage. Until [`LAPSE_GRACE`] later, the
@@ -199,6 +202,7 @@
         self.listed_at = Some(now);
         self.watch.drop_outdated(now);
         self.slow_ranks.drop_outdated(now);
+        self.limits.drop_outdated(now);
         self.notices
             .retain(|_, kept| now < kept.kept_at + NOTICE_RETENTION);
         let regained_at = self.regained_at.filter(|at| now < *at + LAPSE_GRACE);
@@ -234,6 +238,70 @@
         known < Some(until)
     }
 
+    /// Records the limit on the rate of requests that a target has named in the answer to a request
+    /// that started at `started_at`; returns whether it is new, has changed or has ended.
+    pub fn record_limit(
+        &mut self,
+        key: TargetKey,
+        limit: Option<RequestRate>,
+        started_at: Instant,
+        share: FleetShare,
+        now: Instant,
+    ) -> bool {
+        let Some(target) = self.targets.get(key) else {
+            return false;
+        };
+        let target = target.name_hash;
+        self.limits
+            .record_answer(target, limit, started_at, share, now)
+    }
+
+    /// Records the limit of a target that a peer has reported, by the hash of the target's name;
+    /// returns whether it is new, has changed or has ended.
+    pub fn note_limit(
+        &mut self,
+        target: u32,
+        news: LimitNews,
+        share: FleetShare,
+        now: Instant,
+    ) -> bool {
+        self.limits.note(target, news, share, now)
+    }
+
+    /// Returns whether the limit of a target, if it has one, allows this gateway a request now.
+    pub fn admits(&self, target: &DirectTarget, now: Instant) -> bool {
+        self.limits.admits(target.name_hash, now)
+    }
+
+    /// Records that this gateway sends a request to a target.
+    pub fn record_start(&mut self, key: TargetKey, share: FleetShare, now: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.own_in_flight += 1;
+            target.health.record_start();
+            self.limits.record_start(target.name_hash, share, now);
+        }
+    }
+
+    /// Returns the pace at which this gateway may start requests at some targets; `None` if one of
+    /// them has no limit.
+    pub fn limited_pace<'a>(
+        &self,
+        targets: impl Iterator<Item = &'a DirectTarget>,
+        share: FleetShare,
+        now: Instant,
+    ) -> Option<StartPace> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        let targets = targets.map(|target| target.name_hash);
+        self.limits.pace(targets, share, now)
+    }
+
+    /// Returns the limits that are sent to the peers, by the hash of the target's name.
+    pub fn limit_news(&self, now: Instant) -> impl Iterator<Item = (u32, LimitNews)> {
+        self.limits.news(now)
+    }
+
     /// Returns the number of requests that all gateways have in flight at the ranks of a group.
     pub fn group_load(&self, name: &GroupName) -> u32 {
         self.ranks_of(name).map(DirectTarget::in_flight).sum()
@@ -467,6 +535,7 @@
                 target.listed_at = now;
                 return;
             }
+            self.limits.forget(self.targets[key].name_hash);
             self.remove(key, now, changes);
         }
         let id = Arc::clone(&entry.id);
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -130,6 +130,8 @@
     7016 TargetRecovered Info "slow target has recovered";
     7017 SlowdownUnreadable Warn "status report of a target has no usable slowdown";
     7018 TargetCrashed Warn "target crashed before it began to answer a request";
+    7019 TargetLimited Info "target limits the rate of requests";
+    7020 TargetUnlimited Info "target limits the rate of requests no longer";
     8001 PlatformUnavailable Warn "platform call failed";
     8002 PlatformRecovered Info "platform calls succeed again";
 }
--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -407,7 +407,7 @@
                 late += 1;
             }
         }
-        for (key, refusal) in queue.refuse_unservable(now) {
+        for (key, refusal) in queue.refuse_unservable(None, now) {
             refused += 1;
             let waited = now - arrivals[&key];
             assert!(waited <= Duration::from_millis(1_710), "{waited:?}");
@@ -460,7 +460,7 @@
                     on_time += u32::from(!is_late);
                 }
             }
-            queue.refuse_unservable(now);
+            queue.refuse_unservable(None, now);
         }
     }
     f64::from(on_time) / f64::from(asked)
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -10,7 +10,7 @@
     sassafrasslip_core::{
         dispatch::{
             ChoiceInput, DispatchQueue, OutageStep, TargetChoice, TargetKey, WaitKey, WaitRefusal,
-            WaitingRequest, choose_target, decide_during_outage,
+            WaitingRequest, choose_target, decide_during_outage, start_pace,
         },
         ids::ServiceName,
     },
@@ -206,7 +206,8 @@
             return;
         };
         let cause = start_waiting(state, service, queue, now, &mut outcomes);
-        for (key, mut refusal) in queue.requests.refuse_unservable(now) {
+        let pace = start_pace(&state.roster.borrow(), service, state.fleet_share(now), now);
+        for (key, mut refusal) in queue.requests.refuse_unservable(pace, now) {
             if let Some(waiter) = queue.waiters.remove(key) {
                 state.metrics.waiting.dec();
                 let mut reason = "no target in time";
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -271,6 +271,7 @@
         }
     };
     let request = build_request(input, &entry)?;
+    let started_at = Instant::now();
     let sent = timeout_at(input.head_until, channel.exchange(request)).await;
     let response = match sent {
         Err(_) => return Err(AttemptError::broken("no answer in time")),
@@ -279,7 +280,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = decode_answer(&parts, input.request_id);
-    state.note_answer(lease.key, &head, Instant::now());
+    state.note_answer(lease.key, &head, started_at, Instant::now());
     let answer = OpenAnswer {
         lease,
         parts,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -18,8 +18,8 @@
     prost::Message,
     sassafrasslip_core::{
         dispatch::{
-            DatedSlowdown, DatedView, GroupMember, GroupNews, GroupView, PeerReport, Slowdown,
-            TargetEntry, TargetRoster, TargetState,
+            DatedSlowdown, DatedView, GroupMember, GroupNews, GroupView, LimitNews, PeerReport,
+            RequestRate, Slowdown, TargetEntry, TargetRoster, TargetState,
             peer_table::{PeerLoad, ZONE_INTERVAL, remote_interval},
         },
         events::LogEvent::{FrameDropped, PeerChanged},
@@ -28,8 +28,8 @@
     },
     sassafrasslip_platform::decode_configuration,
     sassafrasslip_proto::peer::{
-        GroupNewsRecord, GroupRecord, LoadReport, SlowdownRecord, Snapshot, SnapshotRequest,
-        TargetRecord,
+        GroupNewsRecord, GroupRecord, LimitRecord, LoadReport, SlowdownRecord, Snapshot,
+        SnapshotRequest, TargetRecord,
     },
     std::{
         error::Error,
@@ -226,6 +226,10 @@
             .slowdown_news(now)
             .map(|(target, report)| slowdown_record(target, &report, now))
             .collect(),
+        limits: roster
+            .limit_news(now)
+            .map(|(target, news)| limit_record(target, &news, now))
+            .collect(),
         ..part_news::encode(&state.quarantine.borrow(), now)
     }
 }
@@ -248,6 +252,25 @@
     }
 }
 
+fn limit_record(target: u32, news: &LimitNews, now: Instant) -> LimitRecord {
+    let age = now.saturating_duration_since(news.as_of);
+    LimitRecord {
+        target,
+        per_second: news.limit.map(RequestRate::per_second),
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn note_limit(state: &GatewayState, record: &LimitRecord, now: Instant) {
+    let limit = record.per_second.map(RequestRate::from_value);
+    let as_of = now.checked_sub(Duration::from_millis(record.age_ms.into()));
+    // A rate that cannot be is no news.
+    if let (None | Some(Some(_)), Some(as_of)) = (limit, as_of) {
+        let limit = limit.flatten();
+        state.note_limit(record.target, LimitNews { limit, as_of });
+    }
+}
+
 fn group_record(name: &GroupName, news: &GroupNews, now: Instant) -> GroupNewsRecord {
     let DatedView { view, as_of } = news.dated;
     let age = now.saturating_duration_since(as_of);
@@ -310,6 +333,9 @@
     for record in &report.slowdowns {
         note_slowdown(state, record, now);
     }
+    for record in &report.limits {
+        note_limit(state, record, now);
+    }
     part_news::apply(state, &report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -14,12 +14,13 @@
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            DatedSlowdown, DatedView, GroupLoad, PartQuarantine, PeerTable, RetryAllowance,
-            RosterChange, RouteRule, RouteTable, Slowdown, TargetEntry, TargetKey, TargetRoster,
+            DatedSlowdown, DatedView, FleetShare, GroupLoad, LimitNews, PartQuarantine, PeerTable,
+            RequestRate, RetryAllowance, RosterChange, RouteRule, RouteTable, Slowdown,
+            TargetEntry, TargetKey, TargetRoster,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, TableApplied, TableOutdated, TargetEjected, TargetHeldOff,
-            TargetLeft, TargetListed, TargetRecovered, TargetSlow,
+            TargetLeft, TargetLimited, TargetListed, TargetRecovered, TargetSlow, TargetUnlimited,
         },
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
@@ -106,6 +107,18 @@
     first_answers: RefCell<HashMap<ServiceName, Duration>>,
 }
 
+fn log_limit(target: &str, limit: Option<RequestRate>, source: &'static str) {
+    match limit {
+        Some(limit) => log_event!(
+            TargetLimited,
+            target = target,
+            per_second = format_args!("{:.2}", limit.per_second()),
+            source = source
+        ),
+        None => log_event!(TargetUnlimited, target = target, source = source),
+    }
+}
+
 /// Returns an IPv4 address, by which gateways identify each other; `None` for IPv6.
 pub fn ipv4(address: IpAddr) -> Option<Ipv4Addr> {
     match address {
@@ -296,8 +309,17 @@
         self.note_changes(&changes, source);
     }
 
-    /// Records whether the response headers say that the target is leaving or wants a hold-off.
-    pub fn note_answer(&self, key: TargetKey, head: &AnswerHead, now: Instant) {
+    /// Records whether the response headers say that the target is leaving, wants a hold-off or
+    /// limits the rate of requests.
+    /// The request started at `started_at`.
+    pub fn note_answer(
+        &self,
+        key: TargetKey,
+        head: &AnswerHead,
+        started_at: Instant,
+        now: Instant,
+    ) {
+        self.record_limit(key, head, started_at, now);
         let mut roster = self.roster.borrow_mut();
         let leaves = head.is_leaving && roster.note_leaving(key);
         let until = head.hold_off.map(|hold_off| now + hold_off);
@@ -323,6 +345,43 @@
         }
     }
 
+    /// Records the limit on the rate of requests that a target names. A response that belongs to
+    /// another request or comes from another target says nothing of this one.
+    fn record_limit(&self, key: TargetKey, head: &AnswerHead, started_at: Instant, now: Instant) {
+        if !head.matches_request || head.is_misdirected {
+            return;
+        }
+        let share = self.fleet_share(now);
+        let mut roster = self.roster.borrow_mut();
+        if !roster.record_limit(key, head.request_limit, started_at, share, now) {
+            return;
+        }
+        if let Some(target) = roster.get(key) {
+            log_limit(&target.entry.id, head.request_limit, "answer");
+        }
+        self.group_news.notify_one();
+    }
+
+    /// Records the limit of a target that a peer has reported. `target` is the hash of the target's
+    /// name.
+    pub fn note_limit(&self, target: u32, news: LimitNews) {
+        let now = Instant::now();
+        let share = self.fleet_share(now);
+        let mut roster = self.roster.borrow_mut();
+        if roster.note_limit(target, news, share, now) {
+            let id = roster.name_of(target).unwrap_or("unknown");
+            log_limit(id, news.limit, "peer");
+        }
+    }
+
+    /// Returns the part of this gateway in limits that all gateways share.
+    pub fn fleet_share(&self, now: Instant) -> FleetShare {
+        FleetShare {
+            gateways: self.peers.borrow().sharing_gateways(now),
+            draw: rand::random(),
+        }
+    }
+
     /// Records the pause between two events of a stream and updates the limit of its group.
     /// `objective` is the longest pause that the route aims at.
     pub fn record_pause(
@@ -375,13 +434,11 @@
 
     /// Records that a request starts at a target and takes a slot there.
     pub fn record_start(&self, key: TargetKey) {
+        let now = Instant::now();
         let mut roster = self.roster.borrow_mut();
-        let Some(target) = roster.get_mut(key) else {
-            return;
-        };
-        target.own_in_flight += 1;
-        target.health.record_start();
-        if let Some(member) = &target.entry.group {
+        roster.record_start(key, self.fleet_share(now), now);
+        let target = roster.get(key);
+        if let Some(member) = target.and_then(|target| target.entry.group.as_ref()) {
             self.bounds.borrow_mut().record_start(&member.name);
         }
     }
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -4,7 +4,7 @@
 use {
     prost::Message,
     sassafrasslip_proto::peer::{
-        CrashRecord, LoadReport, PartProofRecord, QuarantineRecord, SlowdownRecord,
+        CrashRecord, LimitRecord, LoadReport, PartProofRecord, QuarantineRecord, SlowdownRecord,
     },
 };
 
@@ -70,7 +70,7 @@
 }
 
 #[test]
-fn earlier_build_reads_a_report_with_crashes() {
+fn earlier_build_reads_a_report_with_crashes_and_limits() {
     let news = LoadReport {
         crashes: vec![CrashRecord {
             crash: 1,
@@ -86,6 +86,11 @@
             age_ms: 60,
             incidents: 2,
         }],
+        limits: vec![LimitRecord {
+            target: 1,
+            per_second: Some(2.4),
+            age_ms: 70,
+        }],
         ..report()
     };
     let read = EarlierReport::decode(&*news.encode_to_vec()).unwrap();
@@ -93,7 +98,7 @@
 }
 
 #[test]
-fn report_of_an_earlier_build_has_no_crashes() {
+fn report_of_an_earlier_build_has_no_crashes_and_limits() {
     let read = LoadReport::decode(&*earlier_report().encode_to_vec()).unwrap();
     assert_eq!(read, report());
 }
