Accept on kept connections only answers that name the request

Callers of repeatable requests were told 'not run, try again' although the target ran their request, or got the 500 of an earlier request. Requests that may run once were not affected, since they get a connection of their own.

Cause: a failure without a request id counted as the answer to the request in flight, whatever the connection had carried before. On a new connection it can only belong to that request; on a kept one it cannot be told.

Change: on a kept connection, an answer has to echo the request's id; otherwise it is unknown whether the request has run, and the connection is closed.

The tests of reject_resumptions are as before.

--- a/crates/core/src/dispatch/channel_plan.rs
+++ b/crates/core/src/dispatch/channel_plan.rs
@@ -28,11 +28,12 @@
     SingleUse,
 }
 
-/// Returns the kind of channel for an attempt, given the rule and the body size of its request. A
-/// request that may not be repeated gets a new channel: a kept one may be reset or carry a late
-/// answer to an earlier request, and then it would be unknown whether the request has run.
-pub fn plan_channel(repeat: RepeatRule, body_bytes: usize) -> ChannelPlan {
-    if !repeat.is_repeatable() || body_bytes > MAX_KEPT_BODY_BYTES {
+/// Returns the kind of channel for an attempt, given the rule and the body size of its request, and
+/// whether it has an id. A request that may not be repeated gets a new channel: a kept one may be
+/// reset or carry a late answer to an earlier request, and then it would be unknown whether the
+/// request has run. Without an id, such an answer could not be told from the request's own.
+pub fn plan_channel(repeat: RepeatRule, body_bytes: usize, has_id: bool) -> ChannelPlan {
+    if !repeat.is_repeatable() || body_bytes > MAX_KEPT_BODY_BYTES || !has_id {
         return ChannelPlan::SingleUse;
     }
     ChannelPlan::Kept {
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -418,14 +418,22 @@
 
 #[test]
 fn non_repeatable_requests_and_long_bodies_get_their_own_channel() {
-    assert_eq!(plan_channel(RepeatRule::Once, 0), ChannelPlan::SingleUse);
-    assert_eq!(plan_channel(RepeatRule::Stream, 0), ChannelPlan::SingleUse);
     assert_eq!(
-        plan_channel(RepeatRule::Repeatable, 1 << 20),
+        plan_channel(RepeatRule::Once, 0, true),
         ChannelPlan::SingleUse
     );
-    let kept = plan_channel(RepeatRule::ResumableStream, 700);
+    assert_eq!(
+        plan_channel(RepeatRule::Stream, 0, true),
+        ChannelPlan::SingleUse
+    );
+    assert_eq!(
+        plan_channel(RepeatRule::Repeatable, 1 << 20, true),
+        ChannelPlan::SingleUse
+    );
+    let kept = plan_channel(RepeatRule::ResumableStream, 700, true);
     assert!(matches!(kept, ChannelPlan::Kept { .. }));
+    let unnamed = plan_channel(RepeatRule::Repeatable, 700, false);
+    assert_eq!(unnamed, ChannelPlan::SingleUse);
 }
 
 #[test]
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -134,6 +134,8 @@
     /// Decoded headers of the platform's protocol.
     pub head: AnswerHead,
     channel: TargetChannel,
+    /// Whether the connection has carried an earlier request.
+    is_kept: bool,
     is_poolable: bool,
     body: Incoming,
 }
@@ -256,12 +258,14 @@
         target.map(|target| target.entry.clone())
     };
     let entry = entry.ok_or_else(|| AttemptError::unsent("target has left the instance list"))?;
-    let plan = plan_channel(input.repeat, input.body.len());
+    let has_id = !input.request_id.is_empty();
+    let plan = plan_channel(input.repeat, input.body.len(), has_id);
     let pooled = match plan {
         ChannelPlan::Kept { longest_idle } => state.channels.take(lease.key, longest_idle),
         ChannelPlan::SingleUse => None,
     };
-    log_decision(state, &lease, &entry, input, pooled.is_some());
+    let is_kept = pooled.is_some();
+    log_decision(state, &lease, &entry, input, is_kept);
     let mut channel = match pooled {
         Some(channel) => channel,
         None => {
@@ -286,6 +290,7 @@
         parts,
         head,
         channel,
+        is_kept,
         is_poolable: plan != ChannelPlan::SingleUse,
         body,
     };
@@ -294,7 +299,13 @@
 
 async fn check_head(state: &GatewayState, mut answer: OpenAnswer) -> Result<OpenAnswer> {
     let head = &answer.head;
-    if !head.matches_request {
+    // A faulty target may repeat an earlier answer, which counts only if it names this request.
+    let belongs = if answer.is_kept {
+        head.echoes_request
+    } else {
+        head.matches_request
+    };
+    if !belongs {
         return Err(AttemptError::broken("answer belongs to another request"));
     }
     if head.was_not_run {
