--- a/crates/core/src/dispatch/part_quarantine.rs
+++ b/crates/core/src/dispatch/part_quarantine.rs
@@ -325,12 +325,7 @@
         runs_trials: bool,
         now: Instant,
     ) -> Option<PartRestriction> {
-        let held = parts.iter().filter_map(|part| {
-            let hold = self.holds.get(part);
-            let hold = hold.filter(|hold| now < hold.trials_until)?;
-            Some((*part, *hold))
-        });
-        let mut held: Vec<_> = held.collect();
+        let mut held: Vec<_> = self.held(parts, now).collect();
         held.sort_by_key(|(_, hold)| hold.refused_until);
         let (part, hold) = *held.last()?;
         let refused = |retry_after| Some(PartRestriction { part, retry_after });
@@ -359,20 +354,29 @@
         if let Some(restriction) = self.restriction(parts, runs_trials, now) {
             return Err(restriction);
         }
-        let holds = &self.holds;
-        let is_held = |part: &&PromptPart| {
-            let hold = holds.get(*part);
-            hold.is_some_and(|hold| now < hold.trials_until)
-        };
-        if let Some(part) = parts.iter().find(is_held) {
+        let held = self.held(parts, now).next();
+        if let Some((part, _)) = held {
             self.trial = Some(PartTrial {
-                part: *part,
+                part,
                 started_at: now,
             });
         }
         Ok(())
     }
 
+    /// Returns the parts that are refused or on trial.
+    fn held(
+        &self,
+        parts: &[PromptPart],
+        now: Instant,
+    ) -> impl Iterator<Item = (PromptPart, HoldPeriod)> {
+        parts.iter().filter_map(move |part| {
+            let hold = self.holds.get(part);
+            let hold = hold.filter(|hold| now < hold.trials_until)?;
+            Some((*part, *hold))
+        })
+    }
+
     /// Removes crashes and parts that no longer count. Proofs are removed when there are too many.
     pub fn drop_outdated(&mut self, now: Instant) {
         self.crashes
--- a/crates/daemon/src/gateway/part_news.rs
+++ b/crates/daemon/src/gateway/part_news.rs
@@ -73,7 +73,7 @@
     drop(quarantine);
     if has_new_suspects {
         // The answer that shows that a suspect is sound may be known only here.
-        state.group_news.notify_one();
+        state.report_due.notify_one();
     }
     if has_new_suspects || !changes.is_empty() {
         state.note_part_changes(&changes, PEER_SOURCE);
--- a/crates/daemon/src/gateway/part_watch.rs
+++ b/crates/daemon/src/gateway/part_watch.rs
@@ -72,7 +72,7 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let changes = quarantine.record_crash(crash, parts, Instant::now());
         drop(quarantine);
-        self.group_news.notify_one();
+        self.report_due.notify_one();
         self.note_part_changes(&changes, OWN_SOURCE);
     }
 
@@ -82,7 +82,7 @@
         let changes = quarantine.record_answer(parts, now);
         drop(quarantine);
         if !changes.is_empty() {
-            self.group_news.notify_one();
+            self.report_due.notify_one();
             self.note_part_changes(&changes, OWN_SOURCE);
         }
     }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -134,7 +134,7 @@
     for sequence in 0_u64.. {
         let is_news = tokio::select! {
             _ = ticks.tick() => false,
-            () = state.group_news.notified() => true,
+            () = state.report_due.notified() => true,
         };
         tick += u64::from(!is_news);
         let now = Instant::now();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -85,7 +85,7 @@
     pub gossip_due: Cell<bool>,
     /// Notified when a load report must be sent immediately, because of news that matter to all
     /// gateways, such as a changed state of a group.
-    pub group_news: Notify,
+    pub report_due: Notify,
     /// Crashes of targets, and the prompt parts that cause them.
     pub quarantine: RefCell<PartQuarantine>,
     /// Notified when the restrictions of prompt parts may have changed.
@@ -150,7 +150,7 @@
             list_failures: Cell::new(0),
             peers: RefCell::default(),
             gossip_due: Cell::new(false),
-            group_news: Notify::new(),
+            report_due: Notify::new(),
             quarantine: RefCell::default(),
             part_news: Notify::new(),
             checked_at: RefCell::default(),
@@ -266,7 +266,7 @@
     /// report. News from a peer has already been sent to the other gateways by that peer.
     fn notify_peers(&self, source: &'static str) {
         if source == REPORT_SOURCE {
-            self.group_news.notify_one();
+            self.report_due.notify_one();
         }
     }
 
@@ -359,7 +359,7 @@
         if let Some(target) = roster.get(key) {
             log_limit(&target.entry.id, head.request_limit, "answer");
         }
-        self.group_news.notify_one();
+        self.report_due.notify_one();
     }
 
     /// Records the limit of a target that a peer has reported. `target` is the hash of the target's
