Keep the spacing of requests when a target repeats its limit

A gateway whose part of a named limit is above about four requests a second did not keep the limit: in a replay with one gateway and a limit of 10 a second, the target got 400 requests in 4 s, where 65 are allowed.

Cause: each answer repeats the limit, and each repetition cut the time to the next request to one interval. With the burst of 250 ms that admits every request as soon as the interval is shorter than the burst.

Change: the spacing of the requests already sent is kept in intervals of the limit, at most one interval and the burst ahead. The start after a raised limit is as early as before.

Test: repeated_high_limit_is_kept failed before.

--- a/crates/core/src/dispatch/request_limits.rs
+++ b/crates/core/src/dispatch/request_limits.rs
@@ -138,12 +138,19 @@
         now: Instant,
     ) -> bool {
         let current = self.current(target, now);
-        let known = current.filter(|known| known.news.limit.is_some());
-        let interval = news.limit.map(|limit| share.interval(limit));
-        let next_at = match (known, interval) {
-            // A higher limit does not wait for the spacing of the lower one.
-            (Some(known), Some(interval)) => known.next_at.min(now + interval),
-            (None, Some(interval)) => now + interval.mul_f64(share.draw),
+        let known = current.and_then(|current| current.news.limit);
+        let next_at = match (current.zip(known), news.limit) {
+            (Some((current, known)), Some(limit)) => {
+                // The spacing of the requests already sent is kept in intervals of the new limit.
+                // Each answer repeats the limit, so that it must not start anew.
+                let (earlier, interval) = (share.interval(known), share.interval(limit));
+                let ahead = current.next_at.saturating_duration_since(now);
+                let ahead = ahead.as_secs_f64() / earlier.as_secs_f64().max(f64::MIN_POSITIVE);
+                let most = interval + BURST_TIME;
+                let ahead = (ahead * interval.as_secs_f64()).min(most.as_secs_f64());
+                now + Duration::from_secs_f64(ahead)
+            }
+            (None, Some(limit)) => now + share.interval(limit).mul_f64(share.draw),
             (_, None) => now,
         };
         let limit = TargetLimit {
@@ -152,7 +159,7 @@
             next_at,
         };
         self.targets.insert(target, limit);
-        known.and_then(|known| known.news.limit) != news.limit
+        known != news.limit
     }
 
     fn current(&self, target: u32, now: Instant) -> Option<TargetLimit> {
--- a/crates/core/tests/request_limits.rs
+++ b/crates/core/tests/request_limits.rs
@@ -77,6 +77,37 @@
     target_that_wants_nothing: (4, 0.0);
 }
 
+/// Each answer names the limit again. It must not make the gateway forget the spacing of the requests
+/// that it has sent.
+fn check_repeated_limit(limit: f64) {
+    let start = Instant::now();
+    let mut limits = RequestLimits::default();
+    limits.record_answer(TARGET, Some(rate(limit)), start, share(1), start);
+    let mut starts = Vec::new();
+    for step in 1..2_800 {
+        let now = start + STEP * step;
+        if limits.admits(TARGET, now) {
+            limits.record_start(TARGET, share(1), now);
+            starts.push(now);
+        }
+        limits.record_answer(TARGET, Some(rate(limit)), now, share(1), now);
+    }
+    let allowed = 1.5 * limit * SPAN.as_secs_f64() + 5.0;
+    for begin in &starts {
+        let count = starts
+            .iter()
+            .filter(|at| *at >= begin && **at < *begin + SPAN);
+        let count = count.count();
+        assert!(count as f64 <= allowed, "{count} in 4 s, allowed {allowed}");
+    }
+}
+
+test_cases! {
+    fn check_repeated_limit(limit: f64);
+    repeated_low_limit_is_kept: (2.4);
+    repeated_high_limit_is_kept: (10.0);
+}
+
 /// A stream that the target began before it named its limit may arrive after the limit.
 #[test]
 fn answer_from_before_a_limit_does_not_end_it() {
