Convert times in load reports with one pair of functions

Reports of slowdowns, groups, limits and crashes each turned a time into an age and back; age_ms and time_of in peers.rs now do it for all. No change of behaviour.

--- a/crates/daemon/src/gateway/part_news.rs
+++ b/crates/daemon/src/gateway/part_news.rs
@@ -1,12 +1,14 @@
 //! Crashes and quarantined prompt parts in the load reports of gateways.
 
 use {
-    super::state::GatewayState,
+    super::{
+        peers::{age_ms, time_of},
+        state::GatewayState,
+    },
     sassafrasslip_core::dispatch::{
         CrashId, CrashReport, PartProof, PartQuarantine, PromptPart, QuarantinedPart,
     },
     sassafrasslip_proto::peer::{CrashRecord, LoadReport, PartProofRecord, QuarantineRecord},
-    std::time::Duration,
     tokio::time::Instant,
 };
 
@@ -79,14 +81,3 @@
         state.note_part_changes(&changes, PEER_SOURCE);
     }
 }
-
-fn age_ms(at: Instant, now: Instant) -> u32 {
-    let age = now.saturating_duration_since(at);
-    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
-}
-
-/// Returns the time that was `age_ms` milliseconds ago; `None` if the clock does not reach back so
-/// far.
-fn time_of(age_ms: u32, now: Instant) -> Option<Instant> {
-    now.checked_sub(Duration::from_millis(age_ms.into()))
-}
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -234,36 +234,45 @@
     }
 }
 
+/// Returns the age of a time in milliseconds, as reports give it.
+pub(super) fn age_ms(at: Instant, now: Instant) -> u32 {
+    let age = now.saturating_duration_since(at);
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns the time that was `age_ms` milliseconds ago; `None` if the clock does not reach back so
+/// far.
+pub(super) fn time_of(age_ms: u32, now: Instant) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(age_ms.into()))
+}
+
 fn slowdown_record(target: u32, report: &DatedSlowdown, now: Instant) -> SlowdownRecord {
-    let age = now.saturating_duration_since(report.as_of);
     SlowdownRecord {
         target,
         factor: report.slowdown.factor() as f32,
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        age_ms: age_ms(report.as_of, now),
     }
 }
 
 fn note_slowdown(state: &GatewayState, record: &SlowdownRecord, now: Instant) {
-    let age = Duration::from_millis(record.age_ms.into());
     let slowdown = Slowdown::from_factor(record.factor.into());
-    if let (Some(slowdown), Some(as_of)) = (slowdown, now.checked_sub(age)) {
+    if let (Some(slowdown), Some(as_of)) = (slowdown, time_of(record.age_ms, now)) {
         let report = DatedSlowdown { slowdown, as_of };
         state.note_slowdown(record.target, report, "peer");
     }
 }
 
 fn limit_record(target: u32, news: &LimitNews, now: Instant) -> LimitRecord {
-    let age = now.saturating_duration_since(news.as_of);
     LimitRecord {
         target,
         per_second: news.limit.map(RequestRate::per_second),
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        age_ms: age_ms(news.as_of, now),
     }
 }
 
 fn note_limit(state: &GatewayState, record: &LimitRecord, now: Instant) {
     let limit = record.per_second.map(RequestRate::from_value);
-    let as_of = now.checked_sub(Duration::from_millis(record.age_ms.into()));
+    let as_of = time_of(record.age_ms, now);
     // A rate that cannot be is no news.
     if let (None | Some(Some(_)), Some(as_of)) = (limit, as_of) {
         let limit = limit.flatten();
@@ -273,19 +282,17 @@
 
 fn group_record(name: &GroupName, news: &GroupNews, now: Instant) -> GroupNewsRecord {
     let DatedView { view, as_of } = news.dated;
-    let age = now.saturating_duration_since(as_of);
     GroupNewsRecord {
         name: name.to_string(),
         epoch: view.epoch,
         is_open: view.is_open,
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        age_ms: age_ms(as_of, now),
         is_forming: news.is_forming,
     }
 }
 
 fn note_group_news(state: &GatewayState, record: &GroupNewsRecord, now: Instant) {
-    let age = Duration::from_millis(record.age_ms.into());
-    let (Ok(name), Some(as_of)) = (record.name.parse(), now.checked_sub(age)) else {
+    let (Ok(name), Some(as_of)) = (record.name.parse(), time_of(record.age_ms, now)) else {
         return;
     };
     let view = GroupView {
