--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -205,7 +205,7 @@
 pub async fn follow_targets(state: Rc<GatewayState>, store: StoreClient) {
     let mut health = StoreHealth::new("targets");
     let mut newest = 0;
-    let mut unreadable = HashMap::new();
+    let mut unreadable: HashMap<String, String> = HashMap::new();
     let intervals = RefreshIntervals::new(&state.options);
     loop {
         let asked_at = Instant::now();
@@ -219,12 +219,12 @@
                 if health.record_success(Instant::now()) {
                     state.roster.borrow_mut().note_list_regained(asked_at);
                 }
-                for (id, fault) in listing.unreadable {
-                    if unreadable.get(&id) != Some(&fault) {
+                for (id, fault) in &listing.unreadable {
+                    if unreadable.get(id) != Some(fault) {
                         log_event!(TargetUnreadable, target = id, fault = fault);
-                        unreadable.insert(id, fault);
                     }
                 }
+                unreadable = listing.unreadable.into_iter().collect();
                 if listing.version >= newest {
                     newest = listing.version;
                     state.apply_listing(listing.targets, asked_at, "store");
