Count only targets of configured services as ranks of a group

What callers would see: another writer leaves an entry that is a copy of a rank with a service that nobody configured. The group of the rank looks broken, or of a newer formation that no report ever confirms, and all requests to it are refused as long as the entry is there; or the entry holds the rank in place of the sound target, which gets nothing.

Cause: ranks were gathered by the name of their group alone. "It names no server to use" held for the choice of a target, not for the state of groups.

Change: the roster knows the services of the configuration and takes no target of another service for a rank. A service that is configured later counts at once.

--- a/crates/core/src/dispatch/route_table.rs
+++ b/crates/core/src/dispatch/route_table.rs
@@ -230,6 +230,11 @@
         self.services.get(name)
     }
 
+    /// Returns the names of the configured services.
+    pub fn service_names(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -5,7 +5,9 @@
         group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
         request_limits::{FleetShare, LimitNews, RequestLimits, RequestRate, StartPace},
         slow_ranks::{DatedSlowdown, SlowRanks, Slowdown, usual_slowdown},
-        target_entry::{DirectTarget, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState},
+        target_entry::{
+            DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
+        },
         target_health::TargetHealth,
     },
     crate::ids::{GroupName, ServiceName},
@@ -110,6 +112,8 @@
     regained_at: Option<Instant>,
     /// Time at which the latest list was read.
     listed_at: Option<Instant>,
+    /// Services that the configuration names; `None` while there is no configuration.
+    services: Option<HashSet<ServiceName>>,
 }
 
 impl TargetRoster {
@@ -191,6 +195,27 @@
         self.regained_at = Some(now);
     }
 
+    /// Sets the services that the configuration names. Targets of other services, which may come
+    /// from another writer, are no ranks of any group. Returns the groups whose state has changed.
+    pub fn set_services(
+        &mut self,
+        services: HashSet<ServiceName>,
+        now: Instant,
+    ) -> Vec<RosterChange> {
+        let mut changes = Vec::new();
+        self.services = Some(services);
+        self.update_groups(now, &mut changes);
+        changes
+    }
+
+    /// Returns the membership of a target in a group, unless its service is not configured.
+    fn member<'a>(&self, target: &'a DirectTarget) -> Option<&'a GroupMember> {
+        let services = self.services.as_ref();
+        let is_configured =
+            services.is_none_or(|services| services.contains(&target.entry.service));
+        target.entry.group.as_ref().filter(|_| is_configured)
+    }
+
     /// Applies a new instance list and returns the changes. An entry with another start time,
     /// address or service under the same name is another process: the old target has left and a new
     /// one has joined.
@@ -345,7 +370,7 @@
 
     fn ranks_of(&self, name: &GroupName) -> impl Iterator<Item = &DirectTarget> {
         self.targets.values().filter(move |target| {
-            let member = target.entry.group.as_ref();
+            let member = self.member(target);
             member.is_some_and(|member| member.name == *name)
         })
     }
@@ -458,7 +483,7 @@
     fn update_groups(&mut self, now: Instant, changes: &mut Vec<RosterChange>) {
         let mut views: HashMap<&GroupName, GroupView> = HashMap::new();
         for target in self.targets.values() {
-            let Some(member) = &target.entry.group else {
+            let Some(member) = self.member(target) else {
                 continue;
             };
             let (epoch, is_open) = (member.epoch, member.is_open);
@@ -505,7 +530,7 @@
     fn rank_holders(&self) -> HashSet<TargetKey> {
         let mut holders: HashMap<(&GroupName, u32), RankHolder> = HashMap::new();
         for (key, target) in &self.targets {
-            let Some(member) = &target.entry.group else {
+            let Some(member) = self.member(target) else {
                 continue;
             };
             let holder = RankHolder {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -199,8 +199,14 @@
         self.metrics
             .revision
             .set(i64::try_from(table.revision).unwrap_or(i64::MAX));
+        let services = table.service_names().cloned().collect();
+        let changes = self
+            .roster
+            .borrow_mut()
+            .set_services(services, Instant::now());
         *self.table.borrow_mut() = Some(Rc::new(table));
         *self.document.borrow_mut() = document;
+        self.note_changes(&changes, source);
         true
     }
 
