Keep sums and products of reported numbers in range

What callers would see: a group of 2^28 ranks with 16 slots has room for no request in a release build, and a debug build ends the connection or task that works it out. Loads in datagrams of peers and weights of a configuration add up in the same way.

Cause: 32-bit sums and products of numbers from the list, from peers and from the configuration.

Change: capacities and weights are worked out as floating point, loads by saturating addition.

Evidence: huge_loads_of_peers_are_added_up, huge_weights_of_services_are_added_up and the three cases of check_capacity panicked before ("attempt to add/multiply with overflow") and pass now.

--- a/crates/core/src/dispatch/pass_governor.rs
+++ b/crates/core/src/dispatch/pass_governor.rs
@@ -143,7 +143,8 @@
 impl GroupLoad {
     /// Returns the number of requests that the ranks can run, without the slow ones.
     fn capacity(&self, engine: &EngineProfile) -> f64 {
-        f64::from(self.ranks.saturating_sub(self.slow_ranks).max(1) * engine.slots)
+        let ranks = self.ranks.saturating_sub(self.slow_ranks).max(1);
+        f64::from(ranks) * f64::from(engine.slots)
     }
 }
 
--- a/crates/core/src/dispatch/route_table.rs
+++ b/crates/core/src/dispatch/route_table.rs
@@ -279,8 +279,9 @@
     /// Returns a service at random according to the weights; `None` if the route has no service.
     /// `draw` is a random number, uniform from 0 to 1.
     pub fn pick_service(&self, draw: f64) -> Option<&ServiceName> {
-        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let weights = self.services.iter();
+        let total: f64 = weights.map(|(_, weight)| f64::from(*weight)).sum();
+        let mut remaining = draw * total;
         for (service, weight) in &self.services {
             remaining -= f64::from(*weight);
             if remaining < 0.0 {
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -161,7 +161,8 @@
         }
         if let Some(member) = &target.entry.group {
             self.broken += usize::from(!target.group_runs);
-            *self.group_loads.entry(&member.name).or_default() += target.in_flight();
+            let load = self.group_loads.entry(&member.name).or_default();
+            *load = load.saturating_add(target.in_flight());
             if is_usable {
                 self.usable_ranks.push((key, &member.name, target));
             }
--- a/crates/core/src/dispatch/target_entry.rs
+++ b/crates/core/src/dispatch/target_entry.rs
@@ -119,7 +119,7 @@
 impl DirectTarget {
     /// Returns the number of requests of all gateways in flight at the target.
     pub fn in_flight(&self) -> u32 {
-        self.own_in_flight + self.peer_in_flight
+        self.own_in_flight.saturating_add(self.peer_in_flight)
     }
 
     /// Returns whether the target accepts new requests according to the list and its own answers.
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -182,7 +182,8 @@
     pub fn set_peer_loads(&mut self, loads: impl Iterator<Item = (u32, u32)>) {
         let mut sums: HashMap<u32, u32> = HashMap::new();
         for (hash, in_flight) in loads {
-            *sums.entry(hash).or_default() += in_flight;
+            let sum = sums.entry(hash).or_default();
+            *sum = sum.saturating_add(in_flight);
         }
         for target in self.targets.values_mut() {
             let sum = sums.get(&target.name_hash);
@@ -329,7 +330,8 @@
 
     /// Returns the number of requests that all gateways have in flight at the ranks of a group.
     pub fn group_load(&self, name: &GroupName) -> u32 {
-        self.ranks_of(name).map(DirectTarget::in_flight).sum()
+        let loads = self.ranks_of(name).map(DirectTarget::in_flight);
+        loads.fold(0, u32::saturating_add)
     }
 
     /// Returns the number of requests that this gateway has in flight at the ranks of a group.
--- a/crates/core/tests/odd_entries.rs
+++ b/crates/core/tests/odd_entries.rs
@@ -4,8 +4,8 @@
 use {
     sassafrasslip_core::{
         dispatch::{
-            ChoiceInput, GroupMember, RouteRule, TargetChoice, TargetEntry, TargetRoster,
-            TargetState, choose_target,
+            ChoiceInput, EngineProfile, GroupLoad, GroupMember, PassGovernor, RepeatRule,
+            RouteRule, TargetChoice, TargetEntry, TargetRoster, TargetState, choose_target,
         },
         ids::{GroupName, ServiceName, ZoneName},
     },
@@ -107,3 +107,81 @@
     assert_eq!(changes.len(), 1);
     assert!(matches!(choose(&roster, now), TargetChoice::Chosen(_)));
 }
+
+/// Guards against sums of the loads that peers report that are out of range.
+#[test]
+fn huge_loads_of_peers_are_added_up() {
+    let now = Instant::now();
+    let mut roster = TargetRoster::default();
+    roster.apply(ranks(), now);
+    let hashes: Vec<_> = roster.iter().map(|(_, target)| target.name_hash).collect();
+    let loads = hashes
+        .iter()
+        .flat_map(|hash| [(*hash, u32::MAX), (*hash, 1)]);
+    roster.set_peer_loads(loads);
+    let keys: Vec<_> = roster.iter().map(|(key, _)| key).collect();
+    for key in keys {
+        roster.get_mut(key).unwrap().own_in_flight = 1;
+    }
+    assert_eq!(roster.group_load(&group()), u32::MAX);
+    assert_eq!(choose(&roster, now), TargetChoice::Full);
+}
+
+fn engine(slots: u32) -> EngineProfile {
+    EngineProfile {
+        slots,
+        stride: 1,
+        step: Duration::from_millis(5),
+        step_per_request: Duration::from_micros(300),
+        read_tokens_per_s: 70_000.0,
+        usual_prompt_tokens: 800.0,
+        usual_answer_tokens: 150.0,
+        report_age: Duration::ZERO,
+        experts: None,
+    }
+}
+
+/// Guards against a limit of no requests, since the product of ranks and slots is out of range.
+fn check_capacity(ranks: u32, slots: u32) {
+    let now = Instant::now();
+    let mut governor = PassGovernor::new();
+    for _ in 0..100 {
+        governor.record_pause(Duration::from_millis(6));
+    }
+    let load = GroupLoad {
+        ranks,
+        in_flight: 1,
+        pause_objective: Duration::from_millis(120),
+        slow_ranks: 0,
+    };
+    assert!(governor.update(&engine(slots), &load, now));
+    assert!(governor.limit().unwrap() >= 1);
+}
+
+test_cases! {
+    fn check_capacity(ranks: u32, slots: u32);
+    size_of_an_odd_group: (1 << 28, 16);
+    largest_size_of_a_group: (u32::MAX, 16);
+    largest_size_and_slots: (u32::MAX, u32::MAX);
+}
+
+/// Guards against a route that has no service, since the sum of its weights is out of range.
+#[test]
+fn huge_weights_of_services_are_added_up() {
+    let route = RouteRule {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        repeat: RepeatRule::Once,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        priority: 0,
+        services: vec![(service(), u32::MAX), ("other".parse().unwrap(), u32::MAX)],
+        attempts: 1,
+        allows_anonymous: true,
+        pause_objective: None,
+        event_timeout: Duration::from_secs(2),
+    };
+    assert_eq!(route.pick_service(0.25), Some(&service()));
+    assert_ne!(route.pick_service(0.75), Some(&service()));
+}
--- a/crates/daemon/src/gateway/placer/snapshot.rs
+++ b/crates/daemon/src/gateway/placer/snapshot.rs
@@ -59,7 +59,8 @@
         mut ranks: Vec<(&GroupMember, &DirectTarget)>,
     ) -> Option<Self> {
         // Requests at a target whose rank another target has taken over are still in flight.
-        let in_flight = ranks.iter().map(|(_, target)| target.in_flight()).sum();
+        let loads = ranks.iter().map(|(_, target)| target.in_flight());
+        let in_flight = loads.fold(0, u32::saturating_add);
         ranks.retain(|(_, target)| !target.is_superseded);
         ranks.sort_by_key(|(member, _)| member.rank);
         let (first, target) = *ranks.first()?;
