Order what the store holds by its eras

What callers may see: after the store has come back from an older copy, a route that was added is not served, targets that join or leave are noticed late, and requests go to a target that had left.

Cause: versions of the store were compared across the restore. The class of fault is a version that is taken for unique although it is given out again. - A gateway dropped every list with a version below the highest known. - It went on polling for changes after a version that the store had given out again, so that changes up to it were missed without a 410. - Rows of the copy counted as news: a target that had left was used again. - A gateway that restarted took the older configuration of the copy, although its peers had a newer one. - A peer's list or configuration age counted whichever history it was of.

Change: the header Store-Era is read, and answers are ordered by era, then version. An answer of another era than the polled one means that the history is lost. Lists and configurations that gateways exchange name their era; a gateway that knows the era of the store does not rely on a peer that names none or an earlier one. Entries that were not written since the first list of an era bring no departed incarnation back and make no draining target ready. Load reports name the revision, and a peer with a newer one is asked for it. A gateway that has started asks two peers which targets have left. All new fields are additive; a store without the header works as before.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -22,6 +22,7 @@
 pub mod retry_allowance;
 pub mod route_table;
 pub mod slow_ranks;
+pub mod store_history;
 pub mod target_choice;
 pub mod target_entry;
 pub mod target_health;
@@ -51,10 +52,13 @@
         RouteTable, ServiceRule, TeamRule,
     },
     slow_ranks::{DatedSlowdown, SlowRanks, Slowdown},
+    store_history::{EraChange, KnownEra, ListHistory, StoreEra, StoreStamp, StoreVersion},
     target_choice::{ChoiceInput, TargetChoice, choose_target, start_pace},
     target_entry::{
         DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
     },
     target_health::TargetHealth,
-    target_roster::{GroupPace, GroupView, RosterChange, TargetRoster},
+    target_roster::{
+        GroupPace, GroupView, RosterChange, TargetDeparture, TargetList, TargetRoster,
+    },
 };
--- a/crates/core/src/dispatch/target_entry.rs
+++ b/crates/core/src/dispatch/target_entry.rs
@@ -112,6 +112,8 @@
     pub is_superseded: bool,
     /// Time at which the target last sent an event of a stream.
     pub progress_at: Option<Instant>,
+    /// Whether the entry may be of the copy from which the store was restored.
+    pub is_unconfirmed: bool,
     /// Time of the latest list that contained the target.
     pub listed_at: Instant,
 }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -32,6 +32,10 @@
 /// leaving.
 const NOTICE_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time for which the departure of a target is remembered. The copy from which a store is restored
+/// is some seconds old.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(120);
+
 /// Notice of a target that is no longer listed, kept in case the same incarnation is listed again.
 #[derive(Clone, Copy, Debug)]
 struct KeptNotice {
@@ -41,6 +45,31 @@
     kept_at: Instant,
 }
 
+/// Incarnation of a target that takes no new work, kept in case an older list shows it again.
+#[derive(Clone, Copy, Debug)]
+struct DepartedTarget {
+    started_at_ms: u64,
+    departed_at: Instant,
+}
+
+/// Incarnation of a target that is leaving or gone, as gateways tell it each other.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetDeparture {
+    /// Name of the target.
+    pub id: TargetId,
+    /// Start time of the incarnation, as in [`TargetEntry::started_at_ms`].
+    pub started_at_ms: u64,
+}
+
+/// Instance list as read from the store or received from a peer.
+#[derive(Clone, Debug, Default)]
+pub struct TargetList {
+    /// Entries of the list.
+    pub entries: Vec<TargetEntry>,
+    /// Names of the entries that may be of the copy from which the store was restored.
+    pub unconfirmed: HashSet<TargetId>,
+}
+
 /// Change of a target or a group.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RosterChange {
@@ -107,6 +136,8 @@
     limits: RequestLimits,
     /// Notices of targets that are no longer listed.
     notices: HashMap<TargetId, KeptNotice>,
+    /// Latest incarnations of targets that are no longer listed.
+    departed: HashMap<TargetId, DepartedTarget>,
     /// Time at which the list could be read again after an outage. Until [`LAPSE_GRACE`] later, the
     /// entry of a target that is missing since then may only have expired.
     regained_at: Option<Instant>,
@@ -171,10 +202,26 @@
     /// Returns the targets of the latest list, without those that are kept only because their
     /// entries may have expired during an outage of the list.
     pub fn listed(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.listed_targets().map(|target| &target.entry)
+    }
+
+    /// Like [`Self::listed`], with what this gateway knows of each target.
+    pub fn listed_targets(&self) -> impl Iterator<Item = &DirectTarget> {
         let latest = self.listed_at;
         let targets = self.targets.values();
-        let listed = targets.filter(move |target| Some(target.listed_at) >= latest);
-        listed.map(|target| &target.entry)
+        targets.filter(move |target| Some(target.listed_at) >= latest)
+    }
+
+    /// Returns the latest list, as [`Self::listed`] gives it.
+    pub fn latest_list(&self) -> TargetList {
+        let mut list = TargetList::default();
+        for target in self.listed_targets() {
+            if target.is_unconfirmed {
+                list.unconfirmed.insert(Arc::clone(&target.entry.id));
+            }
+            list.entries.push(target.entry.clone());
+        }
+        list
     }
 
     /// Replaces the requests of peers in flight by `loads`, pairs of the hash of a target's name
@@ -217,13 +264,33 @@
         target.entry.group.as_ref().filter(|_| is_configured)
     }
 
+    /// Applies a new instance list without unconfirmed entries, like [`Self::apply_list`].
+    pub fn apply(&mut self, entries: Vec<TargetEntry>, now: Instant) -> Vec<RosterChange> {
+        let list = TargetList {
+            entries,
+            ..TargetList::default()
+        };
+        self.apply_list(list, now)
+    }
+
     /// Applies a new instance list and returns the changes. An entry with another start time,
     /// address or service under the same name is another process: the old target has left and a new
     /// one has joined.
-    pub fn apply(&mut self, entries: Vec<TargetEntry>, now: Instant) -> Vec<RosterChange> {
+    ///
+    /// An unconfirmed entry does not undo what is known: it brings back no incarnation that has
+    /// left or was replaced, and makes no draining target ready.
+    pub fn apply_list(&mut self, list: TargetList, now: Instant) -> Vec<RosterChange> {
         let mut changes = Vec::new();
-        for entry in entries {
-            self.apply_entry(entry, now, &mut changes);
+        for entry in list.entries {
+            if !list.unconfirmed.contains(&entry.id) {
+                self.apply_entry(entry, now, &mut changes);
+            } else if let Some(entry) = self.reconcile(entry) {
+                let id = Arc::clone(&entry.id);
+                self.apply_entry(entry, now, &mut changes);
+                if let Some(target) = self.find(&id).and_then(|key| self.targets.get_mut(key)) {
+                    target.is_unconfirmed = true;
+                }
+            }
         }
         self.listed_at = Some(now);
         self.watch.drop_outdated(now);
@@ -231,6 +298,8 @@
         self.limits.drop_outdated(now);
         self.notices
             .retain(|_, kept| now < kept.kept_at + NOTICE_RETENTION);
+        self.departed
+            .retain(|_, departed| now < departed.departed_at + DEPARTURE_RETENTION);
         let regained_at = self.regained_at.filter(|at| now < *at + LAPSE_GRACE);
         let missing = self.targets.iter().filter(|(_, target)| {
             let was_leaving = target.entry.state == TargetState::Draining;
@@ -245,6 +314,94 @@
         changes
     }
 
+    /// Combines an unconfirmed entry with what is known; `None` if the incarnation has left or was
+    /// replaced.
+    fn reconcile(&self, mut entry: TargetEntry) -> Option<TargetEntry> {
+        let departed = self.departed.get(&entry.id);
+        if departed.is_some_and(|departed| entry.started_at_ms <= departed.started_at_ms) {
+            return None;
+        }
+        let Some(known) = self.find_target(&entry.id).map(|target| &target.entry) else {
+            return Some(entry);
+        };
+        if entry.started_at_ms < known.started_at_ms {
+            return None;
+        }
+        if is_same_incarnation(known, &entry) {
+            if known.state == TargetState::Draining {
+                entry.state = TargetState::Draining;
+            }
+            let is_older = known.group.as_ref().is_some_and(|known| {
+                let listed = entry.group.as_ref();
+                listed.is_none_or(|listed| {
+                    let was_broken = known.epoch == listed.epoch && !known.is_open;
+                    listed.epoch < known.epoch || was_broken
+                })
+            });
+            if is_older {
+                entry.group.clone_from(&known.group);
+            }
+        }
+        Some(entry)
+    }
+
+    /// Returns whether entries may be of the copy from which the store was restored.
+    pub fn has_unconfirmed(&self) -> bool {
+        self.targets.values().any(|target| target.is_unconfirmed)
+    }
+
+    /// Returns the incarnations that this gateway knows to be leaving or gone.
+    pub fn departures(&self) -> impl Iterator<Item = TargetDeparture> {
+        let leaving = self.targets.values().filter(|target| !target.takes_work());
+        let leaving = leaving.map(|target| TargetDeparture {
+            id: Arc::clone(&target.entry.id),
+            started_at_ms: target.entry.started_at_ms,
+        });
+        let departed = self.departed.iter();
+        leaving.chain(departed.map(|(id, departed)| TargetDeparture {
+            id: Arc::clone(id),
+            started_at_ms: departed.started_at_ms,
+        }))
+    }
+
+    /// Records incarnations that a peer knows to be leaving or gone, and returns the changes. Only
+    /// unconfirmed entries are affected, now and in later lists.
+    pub fn note_departures(
+        &mut self,
+        departures: impl IntoIterator<Item = TargetDeparture>,
+        now: Instant,
+    ) -> Vec<RosterChange> {
+        let mut changes = Vec::new();
+        for departure in departures {
+            let Some(key) = self.find(&departure.id) else {
+                self.note_departed(departure.id, departure.started_at_ms, now);
+                continue;
+            };
+            let target = &mut self.targets[key];
+            let is_news = target.is_unconfirmed
+                && target.entry.state == TargetState::Ready
+                && target.entry.started_at_ms <= departure.started_at_ms;
+            if is_news {
+                target.entry.state = TargetState::Draining;
+                changes.push(RosterChange::Draining(key));
+            }
+        }
+        changes
+    }
+
+    fn note_departed(&mut self, id: TargetId, started_at_ms: u64, now: Instant) {
+        let departed = self.departed.entry(id).or_insert(DepartedTarget {
+            started_at_ms,
+            departed_at: now,
+        });
+        if started_at_ms > departed.started_at_ms {
+            *departed = DepartedTarget {
+                started_at_ms,
+                departed_at: now,
+            };
+        }
+    }
+
     /// Records that a target has said in an answer that it is leaving; returns whether that was not
     /// known before.
     pub fn note_leaving(&mut self, key: TargetKey) -> bool {
@@ -548,17 +705,14 @@
 
     fn apply_entry(&mut self, entry: TargetEntry, now: Instant, changes: &mut Vec<RosterChange>) {
         if let Some(key) = self.find(&entry.id) {
-            let known = &self.targets[key].entry;
-            let is_same = known.started_at_ms == entry.started_at_ms
-                && known.address == entry.address
-                && known.service == entry.service;
-            if is_same {
+            if is_same_incarnation(&self.targets[key].entry, &entry) {
                 let target = &mut self.targets[key];
                 let is_draining = entry.state == TargetState::Draining;
                 if is_draining && target.entry.state == TargetState::Ready {
                     changes.push(RosterChange::Draining(key));
                 }
                 target.entry = entry;
+                target.is_unconfirmed = false;
                 target.listed_at = now;
                 return;
             }
@@ -566,6 +720,7 @@
             self.remove(key, now, changes);
         }
         let id = Arc::clone(&entry.id);
+        self.departed.remove(&id);
         let kept = self.notices.remove(&id).filter(|kept| {
             kept.started_at_ms == entry.started_at_ms && kept.address == entry.address
         });
@@ -584,6 +739,7 @@
             group_runs: true,
             is_superseded: false,
             progress_at: None,
+            is_unconfirmed: false,
             listed_at: now,
         });
         self.keys.insert(id, key);
@@ -602,7 +758,16 @@
                 };
                 self.notices.insert(target.entry.id.clone(), kept);
             }
+            let id = Arc::clone(&target.entry.id);
+            self.note_departed(id, target.entry.started_at_ms, now);
             changes.push(RosterChange::Left(key, target.entry));
         }
     }
 }
+
+/// Returns whether two entries of one name are of the same process.
+fn is_same_incarnation(known: &TargetEntry, entry: &TargetEntry) -> bool {
+    known.started_at_ms == entry.started_at_ms
+        && known.address == entry.address
+        && known.service == entry.service
+}
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -134,6 +134,8 @@
     7020 TargetUnlimited Info "target limits the rate of requests no longer";
     8001 PlatformUnavailable Warn "platform call failed";
     8002 PlatformRecovered Info "platform calls succeed again";
+    8003 StoreRestored Warn "store was restored from an older copy";
+    8004 StoreAnswerOutdated Warn "answer from before the restore of the store ignored";
 }
 
 /// Logs a [`LogEvent`] at its level, with its number, its name and the given `key = value` fields.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -18,8 +18,9 @@
     prost::Message,
     sassafrasslip_core::{
         dispatch::{
-            DatedSlowdown, DatedView, GroupMember, GroupNews, GroupView, LimitNews, PeerReport,
-            RequestRate, Slowdown, TargetEntry, TargetRoster, TargetState,
+            DatedSlowdown, DatedView, DirectTarget, GroupMember, GroupNews, GroupView, LimitNews,
+            PeerReport, RequestRate, Slowdown, StoreEra, TargetDeparture, TargetEntry, TargetList,
+            TargetRoster, TargetState,
             peer_table::{PeerLoad, ZONE_INTERVAL, remote_interval},
         },
         events::LogEvent::{FrameDropped, PeerChanged},
@@ -28,8 +29,8 @@
     },
     sassafrasslip_platform::decode_configuration,
     sassafrasslip_proto::peer::{
-        GroupNewsRecord, GroupRecord, LimitRecord, LoadReport, SlowdownRecord, Snapshot,
-        SnapshotRequest, TargetRecord,
+        DepartureRecord, GroupNewsRecord, GroupRecord, LimitRecord, LoadReport, SlowdownRecord,
+        Snapshot, SnapshotRequest, TargetRecord,
     },
     std::{
         error::Error,
@@ -74,6 +75,10 @@
 /// Interval at which peers are polled while the store does not answer.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval of polling peers, as a share of the time within which a configuration has to be in
+/// force. A peer with a newer configuration is asked two intervals after its report at the latest.
+const SNAPSHOT_INTERVAL_SHARE: f64 = 0.25;
+
 /// Age of the instance list above which peers are polled. Normally the list is read more often.
 const LIST_AGE_LIMIT: Duration = Duration::from_millis(1500);
 
@@ -203,6 +208,7 @@
 
 fn own_report(state: &GatewayState, incarnation: u64, sequence: u64) -> LoadReport {
     let now = Instant::now();
+    let (revision, document_era) = state.configuration_rank();
     let roster = state.roster.borrow();
     let busy = roster.iter().filter(|(_, target)| target.own_in_flight > 0);
     let (targets, in_flight) = busy
@@ -230,6 +236,8 @@
             .limit_news(now)
             .map(|(target, news)| limit_record(target, &news, now))
             .collect(),
+        revision,
+        document_era: document_era.value(),
         ..part_news::encode(&state.quarantine.borrow(), now)
     }
 }
@@ -344,6 +352,7 @@
         note_limit(state, record, now);
     }
     part_news::apply(state, &report, now);
+    note_configuration(state, address, &report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
     let own = state.own_address();
@@ -367,6 +376,14 @@
     state.update_peer_loads(now);
 }
 
+/// Notes a peer whose configuration is newer than the one in force here.
+fn note_configuration(state: &GatewayState, address: Ipv4Addr, report: &LoadReport, now: Instant) {
+    let rank = (report.revision, StoreEra::from_value(report.document_era));
+    if rank > state.configuration_rank() && state.newer_peer.get().is_none() {
+        state.newer_peer.set(Some((address, now)));
+    }
+}
+
 /// Serves snapshots to peers until the process ends.
 pub async fn serve_snapshots(state: Rc<GatewayState>, listener: TcpListener) {
     loop {
@@ -399,8 +416,9 @@
 }
 
 fn own_snapshot(state: &GatewayState, request: &SnapshotRequest) -> Snapshot {
-    let revision = state.table().map_or(0, |table| table.revision);
-    let document = if revision > request.revision {
+    let rank = state.configuration_rank();
+    let requested_era = StoreEra::from_value(request.document_era);
+    let document = if rank > (request.revision, requested_era) {
         state.document.borrow().clone()
     } else {
         Bytes::new()
@@ -412,7 +430,13 @@
         // Targets that are only kept here although they are no longer listed are left out: the peer
         // may know that they have gone.
         let roster = state.roster.borrow();
-        roster.listed().map(target_record).collect()
+        roster.listed_targets().map(target_record).collect()
+    };
+    let departures = if request.wants_departures {
+        let roster = state.roster.borrow();
+        roster.departures().map(departure_record).collect()
+    } else {
+        Vec::new()
     };
     let now = Instant::now();
     let milliseconds = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
@@ -422,6 +446,17 @@
         list_age_ms: milliseconds(state.list_age(now)),
         configuration_age_ms: milliseconds(state.configuration_age(now)),
         list_unchanged,
+        list_era: state.list_era.get().value(),
+        configuration_era: state.configuration_era.get().value(),
+        document_era: rank.1.value(),
+        departures,
+    }
+}
+
+fn departure_record(departure: TargetDeparture) -> DepartureRecord {
+    DepartureRecord {
+        id: departure.id.to_string(),
+        started_at_ms: departure.started_at_ms,
     }
 }
 
@@ -431,12 +466,13 @@
 /// the zone's reader 1.7 times a second, while the list changes a few times a minute. With the
 /// digest, an unchanged list costs only a few bytes.
 pub fn list_digest(roster: &TargetRoster) -> u64 {
-    let records = roster.listed().map(target_record);
+    let records = roster.listed_targets().map(target_record);
     let digests = records.map(|record| xxh3_64(&record.encode_to_vec()));
     digests.fold(0, u64::wrapping_add)
 }
 
-fn target_record(entry: &TargetEntry) -> TargetRecord {
+fn target_record(target: &DirectTarget) -> TargetRecord {
+    let entry = &target.entry;
     TargetRecord {
         id: entry.id.to_string(),
         service: entry.service.to_string(),
@@ -452,6 +488,7 @@
             size: member.size,
             is_open: member.is_open,
         }),
+        unconfirmed: target.is_unconfirmed,
     }
 }
 
@@ -482,17 +519,44 @@
     })
 }
 
-/// Polls peers for snapshots while this gateway has no configuration or no recent instance list,
-/// until the process ends.
+/// Returns the list of a snapshot. Entries of a list that may be from before a restore of the store
+/// are unconfirmed.
+fn target_list(records: Vec<TargetRecord>, is_covered: bool) -> TargetList {
+    let mut list = TargetList::default();
+    for record in records {
+        let is_unconfirmed = record.unconfirmed || !is_covered;
+        if let Some(entry) = target_entry(record) {
+            if is_unconfirmed {
+                list.unconfirmed.insert(entry.id.clone());
+            }
+            list.entries.push(entry);
+        }
+    }
+    list
+}
+
+/// Polls peers for snapshots until the process ends: while this gateway has no configuration or no
+/// recent instance list, after its start while entries may be of a copy from which the store was
+/// restored, and when a peer has had a newer configuration for some time.
 pub async fn poll_peers(state: Rc<GatewayState>) {
+    let limit = state.options.configuration_limit;
+    let interval = SNAPSHOT_INTERVAL.min(limit.mul_f64(SNAPSHOT_INTERVAL_SHARE));
     loop {
-        sleep(SNAPSHOT_INTERVAL).await;
+        sleep(interval).await;
         let now = Instant::now();
-        if state.table().is_some() && state.list_age(now) < LIST_AGE_LIMIT {
-            continue;
+        let newer = state.newer_peer.get();
+        let newer = newer.filter(|(_, heard_at)| now >= *heard_at + interval);
+        let mut polled = Vec::new();
+        if let Some((address, _)) = newer {
+            state.newer_peer.set(None);
+            polled.push(address);
+        }
+        let wants_departures =
+            state.departures_due.get() > 0 && state.roster.borrow().has_unconfirmed();
+        if state.table().is_none() || state.list_age(now) >= LIST_AGE_LIMIT || wants_departures {
+            polled.extend(state.peers.borrow().live(now).take(POLLED_PEERS));
         }
-        let live: Vec<_> = state.peers.borrow().live(now).take(POLLED_PEERS).collect();
-        for address in live {
+        for address in polled {
             let peer = SocketAddr::from((address, state.options.peer_address.port()));
             let fetched = fetch_snapshot(&state, peer).await;
             if let Err(report) = fetched {
@@ -522,7 +586,7 @@
 ///
 /// Fails if the peer does not answer in time or sends a snapshot that cannot be decoded.
 pub async fn fetch_snapshot(state: &GatewayState, peer: SocketAddr) -> Result<()> {
-    let revision = state.table().map_or(0, |table| table.revision);
+    let (revision, document_era) = state.configuration_rank();
     let list_digest = state.list_digest.get();
     let requested_at = Instant::now();
     let exchange = async {
@@ -532,6 +596,8 @@
         let request = SnapshotRequest {
             revision,
             list_digest,
+            document_era: document_era.value(),
+            wants_departures: state.departures_due.get() > 0,
         };
         let request = request.encode_to_vec();
         let sent = frames.send(Bytes::from(request)).await;
@@ -554,50 +620,73 @@
     requested_at: Instant,
     peer: SocketAddr,
 ) -> Result<()> {
+    let list_era = StoreEra::from_value(snapshot.list_era);
+    let configuration_era = StoreEra::from_value(snapshot.configuration_era);
+    let latest_era = list_era.max(configuration_era);
+    if latest_era > state.known_era.get().era() {
+        state.note_era(latest_era, "peer");
+    }
+    let known_era = state.known_era.get();
     let configuration_age = Duration::from_millis(snapshot.configuration_age_ms);
     let is_current = configuration_age <= state.options.configuration_limit;
     // A peer that is cut off from the store may hold a configuration with API keys that have been
-    // revoked. It is accepted only if the store cannot be reached from here either.
-    if !snapshot.document.is_empty()
-        && (is_current || state.configuration_failures.get() >= FAILURES_FOR_STALE_DATA)
-    {
+    // revoked. A gateway without a configuration accepts it only if the store cannot be reached from
+    // here either. For others, a newer one is better than the one in force: a store restored from a
+    // copy may hold an older one than the peers.
+    let is_stuck = state.configuration_failures.get() >= FAILURES_FOR_STALE_DATA;
+    if !snapshot.document.is_empty() && (is_current || is_stuck || state.table().is_some()) {
         let step = PeerStep::Decode;
         let table = decode_configuration(&snapshot.document);
         let table = table.change_context(PeerError { step, peer })?;
-        state.apply_table(table, snapshot.document, "peer");
+        let document_era = StoreEra::from_value(snapshot.document_era);
+        state.apply_table(table, snapshot.document, document_era, "peer");
     }
     let ago = |age_ms| requested_at.checked_sub(Duration::from_millis(age_ms));
     let configured_at = ago(snapshot.configuration_age_ms);
-    state
-        .configured_at
-        .set(state.configured_at.get().max(configured_at));
+    if known_era.covers(configuration_era) && configured_at > state.configured_at.get() {
+        state.configured_at.set(configured_at);
+        state.configuration_era.set(configuration_era);
+    }
     // The list's age counts from when it was read from the store, not from this request.
     let read_at = ago(snapshot.list_age_ms);
     // An old list shows targets that have left. A gateway that has just started accepts it only if
     // the store cannot be reached.
-    let is_usable = Duration::from_millis(snapshot.list_age_ms) <= OUTAGE_AGE
-        || state.list_failures.get() >= FAILURES_FOR_STALE_DATA;
+    let is_covered = known_era.covers(list_era);
+    let is_recent = Duration::from_millis(snapshot.list_age_ms) <= OUTAGE_AGE;
+    let is_usable = is_recent && is_covered || state.list_failures.get() >= FAILURES_FOR_STALE_DATA;
+    let own_era = state.list_era.get();
     let is_newer = match (read_at, state.listed_at.get()) {
-        (Some(read_at), Some(listed_at)) => read_at > listed_at,
         (_, None) => true,
+        (_, Some(_)) if list_era.is_named() && own_era.is_named() && list_era != own_era => {
+            list_era > own_era
+        }
+        (Some(read_at), Some(listed_at)) => read_at > listed_at,
         (None, Some(_)) => false,
     };
     // The reply refers to the digest that was sent. If this gateway's list has been replaced since,
     // the reply says nothing about the new one; the next request will.
     let is_unchanged = snapshot.list_unchanged && state.list_digest.get() == requested_digest;
-    let records = snapshot.targets.into_iter();
-    let entries: Vec<_> = records.filter_map(target_entry).collect();
-    if is_usable && is_newer && (is_unchanged || !entries.is_empty()) {
+    let list = target_list(snapshot.targets, is_covered);
+    if is_usable && is_newer && (is_unchanged || !list.entries.is_empty()) {
         if state.list_age(requested_at) > OUTAGE_AGE {
             let regained_at = read_at.unwrap_or(requested_at);
             state.roster.borrow_mut().note_list_regained(regained_at);
         }
         let read_at = read_at.unwrap_or(requested_at);
+        let era = list_era.max(own_era);
         if is_unchanged {
-            state.renew_listing(read_at, "peer");
+            state.renew_listing(era, read_at, "peer");
         } else {
-            state.apply_listing(entries, read_at, "peer");
+            state.apply_listing(list, era, read_at, "peer");
         }
     }
+    let departures = snapshot.departures.into_iter();
+    let departures = departures.map(|record| TargetDeparture {
+        id: record.id.into(),
+        started_at_ms: record.started_at_ms,
+    });
+    state.note_departures(departures.collect(), requested_at);
+    let due = state.departures_due.get();
+    state.departures_due.set(due.saturating_sub(1));
     Ok(())
 }
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -9,6 +9,7 @@
     crate::options::GatewayOptions,
     error_stack::Report,
     sassafrasslip_core::{
+        dispatch::{ListHistory, StoreStamp, StoreVersion, TargetEntry, TargetList},
         events::LogEvent::{
             PlatformRecovered, PlatformUnavailable, TableRejected, TargetUnreadable,
         },
@@ -16,9 +17,8 @@
     },
     sassafrasslip_platform::{
         ConfigurationDocument, ConfigurationUpdate, StoreClient, StoreError, decode_configuration,
-        store::StoreVersion,
     },
-    std::{collections::HashMap, rc::Rc, time::Duration},
+    std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -117,8 +117,8 @@
 /// this gateway is the zone's reader or the configuration from the reader is too old.
 pub async fn follow_configuration(state: Rc<GatewayState>, store: StoreClient) {
     let mut health = StoreHealth::new("configuration");
-    let mut version: Option<StoreVersion> = None;
-    let mut newest = 0;
+    let mut stamp: Option<StoreStamp> = None;
+    let mut newest = StoreStamp::default();
     let intervals = RefreshIntervals::new(&state.options);
     loop {
         let now = Instant::now();
@@ -128,15 +128,16 @@
             continue;
         }
         let result =
-            read_or_await_configuration(&state, &store, &intervals, version, &mut newest).await;
+            read_or_await_configuration(&state, &store, &intervals, stamp, &mut newest).await;
         let now = Instant::now();
         match result {
             Ok(next) => {
                 health.record_success(now);
                 state.configuration_failures.set(0);
-                version = next;
-                if version.is_some() {
+                stamp = next;
+                if let Some(stamp) = stamp {
                     state.configured_at.set(Some(now));
+                    state.configuration_era.set(stamp.era);
                 }
             }
             Err(report) => {
@@ -150,47 +151,54 @@
     }
 }
 
-/// Reads the configuration, or waits for a change if its version is known. Returns the version from
+/// Reads the configuration, or waits for a change if its stamp is known. Returns the stamp from
 /// which to wait for the next change, or `None` if the configuration must be read again.
 async fn read_or_await_configuration(
     state: &GatewayState,
     store: &StoreClient,
     intervals: &RefreshIntervals,
-    version: Option<StoreVersion>,
-    newest: &mut StoreVersion,
-) -> Result<Option<StoreVersion>, Report<StoreError>> {
-    let Some(version) = version else {
-        let (document, version) = store.read_configuration().await?;
-        apply_document(state, &document);
+    stamp: Option<StoreStamp>,
+    newest: &mut StoreStamp,
+) -> Result<Option<StoreStamp>, Report<StoreError>> {
+    let Some(stamp) = stamp else {
+        let (document, stamp) = store.read_configuration().await?;
+        let Some(stamp) = state.note_stamp(stamp) else {
+            sleep(STALE_PAUSE).await;
+            return Ok(None);
+        };
+        apply_document(state, &document, stamp);
         // While the store has lost its history, it may answer a read with an old version.
-        if version < *newest {
+        if stamp < *newest {
             sleep(STALE_PAUSE).await;
             return Ok(None);
         }
-        *newest = version;
-        return Ok(Some(version));
+        *newest = stamp;
+        return Ok(Some(stamp));
     };
     match store
-        .await_configuration(version, intervals.change_wait)
+        .await_configuration(stamp, intervals.change_wait)
         .await?
     {
-        ConfigurationUpdate::Changed { document, version } => {
-            apply_document(state, &document);
-            *newest = version.max(*newest);
-            Ok(Some(version))
+        ConfigurationUpdate::Changed {
+            document,
+            stamp: next,
+        } => {
+            apply_document(state, &document, next);
+            *newest = next.max(*newest);
+            Ok(Some(next))
         }
         ConfigurationUpdate::Unchanged(next) => {
             *newest = next.max(*newest);
-            Ok(Some(next.max(version)))
+            Ok(Some(next.max(stamp)))
         }
         ConfigurationUpdate::HistoryLost => Ok(None),
     }
 }
 
-fn apply_document(state: &GatewayState, document: &ConfigurationDocument) {
+fn apply_document(state: &GatewayState, document: &ConfigurationDocument, stamp: StoreStamp) {
     match decode_configuration(&document.document) {
         Ok(table) => {
-            state.apply_table(table, document.document.clone(), "store");
+            state.apply_table(table, document.document.clone(), stamp.era, "store");
         }
         Err(report) => log_event!(
             TableRejected,
@@ -204,7 +212,7 @@
 /// is this gateway or has no recent list, from the store.
 pub async fn follow_targets(state: Rc<GatewayState>, store: StoreClient) {
     let mut health = StoreHealth::new("targets");
-    let mut newest = 0;
+    let mut history = ListHistory::default();
     let mut unreadable: HashMap<String, String> = HashMap::new();
     let intervals = RefreshIntervals::new(&state.options);
     loop {
@@ -225,9 +233,10 @@
                     }
                 }
                 unreadable = listing.unreadable.into_iter().collect();
-                if listing.version >= newest {
-                    newest = listing.version;
-                    state.apply_listing(listing.targets, asked_at, "store");
+                let stamp = state.note_stamp(listing.stamp);
+                if let Some(stamp) = stamp.filter(|stamp| history.record(*stamp, asked_at)) {
+                    let list = target_list(listing.targets, &history, asked_at);
+                    state.apply_listing(list, stamp.era, asked_at, "store");
                 }
                 sleep(intervals.list_interval.saturating_sub(asked_at.elapsed())).await;
             }
@@ -242,6 +251,21 @@
     }
 }
 
+fn target_list(
+    entries: Vec<(TargetEntry, StoreVersion)>,
+    history: &ListHistory,
+    now: Instant,
+) -> TargetList {
+    let mut list = TargetList::default();
+    for (entry, version) in entries {
+        if history.is_unconfirmed(version, now) {
+            list.unconfirmed.insert(Arc::clone(&entry.id));
+        }
+        list.entries.push(entry);
+    }
+    list
+}
+
 /// Fetches a snapshot from the zone's reader. Returns whether the list of targets is recent
 /// afterwards; `false` if this gateway is the reader or the reader does not answer.
 async fn refresh_from_reader(
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -14,13 +14,15 @@
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            DatedSlowdown, DatedView, FleetShare, GroupLoad, LimitNews, PartQuarantine, PeerTable,
-            RequestRate, RetryAllowance, RosterChange, RouteRule, RouteTable, Slowdown,
-            TargetEntry, TargetKey, TargetRoster,
+            DatedSlowdown, DatedView, EraChange, FleetShare, GroupLoad, KnownEra, LimitNews,
+            PartQuarantine, PeerTable, RequestRate, RetryAllowance, RosterChange, RouteRule,
+            RouteTable, Slowdown, StoreEra, StoreStamp, TargetDeparture, TargetKey, TargetList,
+            TargetRoster,
         },
         events::LogEvent::{
-            GroupChanged, GroupForming, TableApplied, TableOutdated, TargetEjected, TargetHeldOff,
-            TargetLeft, TargetLimited, TargetListed, TargetRecovered, TargetSlow, TargetUnlimited,
+            GroupChanged, GroupForming, StoreAnswerOutdated, StoreRestored, TableApplied,
+            TableOutdated, TargetEjected, TargetHeldOff, TargetLeft, TargetLimited, TargetListed,
+            TargetRecovered, TargetSlow, TargetUnlimited,
         },
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
@@ -45,6 +47,9 @@
 /// Uptime from which on a gateway counts as settled and is preferred as a placer.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 
+/// Number of peers that a gateway asks after its start which targets have left.
+const DEPARTURE_SOURCES: usize = 2;
+
 /// Value of the log key `source` for facts that this gateway has read from the report of a rank.
 pub const REPORT_SOURCE: &str = "report";
 
@@ -67,14 +72,26 @@
     pub queues: RefCell<HashMap<ServiceName, ServiceQueue>>,
     /// Notified when a request joins a queue.
     pub waiting: Notify,
+    /// Latest era of the store that is known here.
+    pub known_era: Cell<KnownEra>,
     /// When the instance list in use was read from the store, here or by a peer.
     pub listed_at: Cell<Option<Instant>>,
+    /// Era of the store from which the instance list in use was read.
+    pub list_era: Cell<StoreEra>,
     /// Digest of the instance list, by which peers recognize that it is unchanged; 0 without a
     /// list.
     pub list_digest: Cell<u64>,
     /// When the store last confirmed that the configuration is current, to this gateway or to a
     /// peer.
     pub configured_at: Cell<Option<Instant>>,
+    /// Era of the store at that time.
+    pub configuration_era: Cell<StoreEra>,
+    /// Era of the store in which it last held the configuration in force.
+    pub document_era: Cell<StoreEra>,
+    /// Number of peers that are still to be asked, after the start, which targets have left.
+    pub departures_due: Cell<usize>,
+    /// Peer with a newer configuration than this gateway, and when it was first heard of.
+    pub newer_peer: Cell<Option<(Ipv4Addr, Instant)>>,
     /// Consecutive failed calls to the store for the configuration.
     pub configuration_failures: Cell<u32>,
     /// Consecutive failed calls to the store for the instance list.
@@ -143,9 +160,15 @@
             collected_bytes: Cell::new(0),
             queues: RefCell::default(),
             waiting: Notify::new(),
+            known_era: Cell::default(),
             listed_at: Cell::new(None),
+            list_era: Cell::default(),
             list_digest: Cell::new(0),
             configured_at: Cell::new(None),
+            configuration_era: Cell::default(),
+            document_era: Cell::default(),
+            departures_due: Cell::new(DEPARTURE_SOURCES),
+            newer_peer: Cell::new(None),
             configuration_failures: Cell::new(0),
             list_failures: Cell::new(0),
             peers: RefCell::default(),
@@ -174,11 +197,69 @@
         self.table.borrow().clone()
     }
 
-    /// Puts a configuration in force unless the one in force has the same or a newer revision;
-    /// returns whether it was put in force.
-    pub fn apply_table(&self, table: RouteTable, document: Bytes, source: &'static str) -> bool {
+    /// Returns the revision and the era of the configuration in force; a greater pair is newer.
+    pub fn configuration_rank(&self) -> (u64, StoreEra) {
+        let revision = self.table.borrow().as_ref().map(|table| table.revision);
+        (revision.unwrap_or_default(), self.document_era.get())
+    }
+
+    /// Records the stamp of an answer of the store; returns it with the era that counts for it, or
+    /// `None` if the answer is from before a restore.
+    pub fn note_stamp(&self, stamp: StoreStamp) -> Option<StoreStamp> {
+        let is_recent = self.note_era(stamp.era, "store");
+        let era = self.known_era.get().era();
+        is_recent.then_some(StoreStamp { era, ..stamp })
+    }
+
+    /// Records the era that the store or a peer has named; returns `false` if it is an earlier one
+    /// than known, so that what came with it is outdated.
+    pub fn note_era(&self, era: StoreEra, source: &'static str) -> bool {
+        let mut known = self.known_era.get();
+        let change = known.record(era);
+        self.known_era.set(known);
+        let known = known.era().value();
+        match change {
+            EraChange::Same => {}
+            EraChange::Restored(previous) => {
+                let previous = previous.value();
+                log_event!(
+                    StoreRestored,
+                    era = known,
+                    previous = previous,
+                    source = source
+                );
+            }
+            EraChange::Outdated => {
+                let era = era.value();
+                log_event!(
+                    StoreAnswerOutdated,
+                    era = era,
+                    known = known,
+                    source = source
+                );
+            }
+        }
+        change != EraChange::Outdated
+    }
+
+    /// Puts a configuration that the store held in the era `era` in force, unless the one in force
+    /// has a newer revision, or the same revision and is the same or of a later era; returns whether
+    /// it was put in force.
+    pub fn apply_table(
+        &self,
+        table: RouteTable,
+        document: Bytes,
+        era: StoreEra,
+        source: &'static str,
+    ) -> bool {
         let current = self.table.borrow().as_ref().map(|table| table.revision);
-        if current.is_some_and(|current| current >= table.revision) {
+        let is_renewed = current == Some(table.revision) && era > self.document_era.get();
+        if is_renewed && *self.document.borrow() == document {
+            self.document_era.set(era);
+            self.newer_peer.set(None);
+            return false;
+        }
+        if !is_renewed && current.is_some_and(|current| current >= table.revision) {
             if current > Some(table.revision) {
                 log_event!(
                     TableOutdated,
@@ -206,25 +287,44 @@
             .set_services(services, Instant::now());
         *self.table.borrow_mut() = Some(Rc::new(table));
         *self.document.borrow_mut() = document;
+        self.document_era.set(era);
+        self.newer_peer.set(None);
         self.note_changes(&changes, source);
         true
     }
 
-    /// Replaces the list of targets by one that was read at `now`.
-    pub fn apply_listing(&self, entries: Vec<TargetEntry>, now: Instant, source: &'static str) {
-        self.replace_listing(entries, now, source);
+    /// Replaces the list of targets by one that was read at `now` in the era `era`. The first list
+    /// of an era may lack targets that joined after the copy from which the store was restored.
+    pub fn apply_listing(
+        &self,
+        list: TargetList,
+        era: StoreEra,
+        now: Instant,
+        source: &'static str,
+    ) {
+        self.replace_listing(list, era, now, source);
         let digest = list_digest(&self.roster.borrow());
         self.list_digest.set(digest);
     }
 
     /// Records that the list of targets was read again at `now` and is unchanged.
-    pub fn renew_listing(&self, now: Instant, source: &'static str) {
-        let entries = self.roster.borrow().listed().cloned().collect();
-        self.replace_listing(entries, now, source);
+    pub fn renew_listing(&self, era: StoreEra, now: Instant, source: &'static str) {
+        let list = self.roster.borrow().latest_list();
+        self.replace_listing(list, era, now, source);
     }
 
-    fn replace_listing(&self, entries: Vec<TargetEntry>, now: Instant, source: &'static str) {
-        let changes = self.roster.borrow_mut().apply(entries, now);
+    /// Records targets that a peer knows to be leaving or gone.
+    pub fn note_departures(&self, departures: Vec<TargetDeparture>, now: Instant) {
+        let changes = self.roster.borrow_mut().note_departures(departures, now);
+        self.note_changes(&changes, "peer");
+    }
+
+    fn replace_listing(&self, list: TargetList, era: StoreEra, now: Instant, source: &'static str) {
+        let previous = self.list_era.replace(era);
+        if previous.is_named() && era > previous {
+            self.roster.borrow_mut().note_list_regained(now);
+        }
+        let changes = self.roster.borrow_mut().apply_list(list, now);
         self.listed_at.set(Some(now));
         self.update_peer_loads(now);
         self.note_changes(&changes, source);
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -4,7 +4,8 @@
 use {
     prost::Message,
     sassafrasslip_proto::peer::{
-        CrashRecord, LimitRecord, LoadReport, PartProofRecord, QuarantineRecord, SlowdownRecord,
+        CrashRecord, DepartureRecord, LimitRecord, LoadReport, PartProofRecord, QuarantineRecord,
+        SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
     },
 };
 
@@ -102,3 +103,117 @@
     let read = LoadReport::decode(&*earlier_report().encode_to_vec()).unwrap();
     assert_eq!(read, report());
 }
+
+/// Request for a snapshot as the build of beb994b declares it.
+#[derive(Clone, Copy, Message, PartialEq)]
+struct EarlierRequest {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(fixed64, tag = "2")]
+    list_digest: u64,
+}
+
+/// Snapshot as the build of beb994b declares it.
+#[derive(Clone, Message, PartialEq)]
+struct EarlierSnapshot {
+    #[prost(bytes = "vec", tag = "1")]
+    document: Vec<u8>,
+    #[prost(message, repeated, tag = "2")]
+    targets: Vec<EarlierTarget>,
+    #[prost(uint64, tag = "3")]
+    list_age_ms: u64,
+    #[prost(uint64, tag = "4")]
+    configuration_age_ms: u64,
+    #[prost(bool, tag = "5")]
+    list_unchanged: bool,
+}
+
+/// Target as the build of beb994b declares it, without the fields that its successor has not
+/// changed.
+#[derive(Clone, Message, PartialEq)]
+struct EarlierTarget {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(uint64, tag = "7")]
+    started_at_ms: u64,
+}
+
+fn earlier_snapshot() -> EarlierSnapshot {
+    EarlierSnapshot {
+        document: b"{}".to_vec(),
+        targets: vec![EarlierTarget {
+            id: "i-1".to_owned(),
+            started_at_ms: 5,
+        }],
+        list_age_ms: 10,
+        configuration_age_ms: 20,
+        list_unchanged: false,
+    }
+}
+
+fn snapshot() -> Snapshot {
+    Snapshot {
+        document: b"{}".to_vec().into(),
+        targets: vec![TargetRecord {
+            id: "i-1".to_owned(),
+            started_at_ms: 5,
+            ..TargetRecord::default()
+        }],
+        list_age_ms: 10,
+        configuration_age_ms: 20,
+        ..Snapshot::default()
+    }
+}
+
+#[test]
+fn earlier_build_reads_a_snapshot_with_eras() {
+    let mut snapshot = Snapshot {
+        list_era: 2,
+        configuration_era: 2,
+        document_era: 1,
+        departures: vec![DepartureRecord {
+            id: "i-0".to_owned(),
+            started_at_ms: 4,
+        }],
+        ..snapshot()
+    };
+    snapshot.targets[0].unconfirmed = true;
+    let read = EarlierSnapshot::decode(&*snapshot.encode_to_vec()).unwrap();
+    assert_eq!(read, earlier_snapshot());
+    let request = SnapshotRequest {
+        revision: 3,
+        list_digest: 7,
+        document_era: 2,
+        wants_departures: true,
+    };
+    let read = EarlierRequest::decode(&*request.encode_to_vec()).unwrap();
+    assert_eq!((read.revision, read.list_digest), (3, 7));
+}
+
+#[test]
+fn snapshot_of_an_earlier_build_names_no_era() {
+    let read = Snapshot::decode(&*earlier_snapshot().encode_to_vec()).unwrap();
+    assert_eq!(read, snapshot());
+    let request = EarlierRequest {
+        revision: 3,
+        list_digest: 7,
+    };
+    let read = SnapshotRequest::decode(&*request.encode_to_vec()).unwrap();
+    let expected = SnapshotRequest {
+        revision: 3,
+        list_digest: 7,
+        ..SnapshotRequest::default()
+    };
+    assert_eq!(read, expected);
+}
+
+#[test]
+fn earlier_build_reads_a_report_with_a_revision() {
+    let news = LoadReport {
+        revision: 4,
+        document_era: 2,
+        ..report()
+    };
+    let read = EarlierReport::decode(&*news.encode_to_vec()).unwrap();
+    assert_eq!(read, earlier_report());
+}
