Answer or refuse requests that a planned stop would cut

What callers would see: in a planned stop of a gateway, a request that arrives up to 3.1 s after the stop signal, or whose body ends later still, is taken and passed on with its whole timeout. If that is longer than the time until the process ends 7.6 s after the signal, its connection is closed without an answer, also for requests that may run once. Requests that are still queued then are closed without an answer, too, though they have not run.

Cause: the stop ended connections, not requests. Nothing compared the time that a request may take with the time that was left, and the end of the process was the end of whatever was in flight. When it was near, slots that became free started queued requests.

Change: StopPlan (core/dispatch/stop_plan.rs) has the times of the stop and decides which requests are served in it, on arrival and once more before one is passed on. While the balancer still sends connections (2.6 s), a request is served if its deadline or the usual time of its kind is within the time left; later on, one that may run once only if its deadline is, and one that may be repeated if the longest usual time is. All others get 503 with Retry-After and Connection: close at once. Deadlines end with the process, also those that targets get. 0.3 s before the process ends, whatever has no answer yet gets one: 503 if it was never sent or every attempt was turned away, 504 otherwise; a body that is still being read gets 503. Only streams that have begun can be cut; 1010 counts them.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -22,6 +22,7 @@
 pub mod retry_allowance;
 pub mod route_table;
 pub mod slow_ranks;
+pub mod stop_plan;
 pub mod store_history;
 pub mod target_choice;
 pub mod target_entry;
@@ -52,6 +53,7 @@
         RouteTable, ServiceRule, TeamRule,
     },
     slow_ranks::{DatedSlowdown, SlowRanks, Slowdown},
+    stop_plan::{DurationEstimate, StopPlan, StoppingRequest},
     store_history::{EraChange, KnownEra, ListHistory, StoreEra, StoreStamp, StoreVersion},
     target_choice::{ChoiceInput, TargetChoice, choose_target, start_pace},
     target_entry::{
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -50,6 +50,7 @@
     1007 LinesDropped Warn "log lines were dropped";
     1008 SettingsReloaded Info "settings reloaded";
     1009 SettingsRejected Error "changed settings are invalid and not applied";
+    1010 ConnectionsCut Warn "connections of callers were closed with requests in flight";
     2001 RouteDecided Info "routing decision";
     2002 RouteFailed Info "no target could be chosen";
     2003 RequestAnswered Info "request answered";
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -37,7 +37,7 @@
     error_stack::{Report, ResultExt},
     sassafrasslip_platform::StoreClient,
     std::rc::Rc,
-    tokio::{net::UdpSocket, task::LocalSet},
+    tokio::{net::UdpSocket, task::LocalSet, time::Instant},
 };
 
 /// Runs a gateway until the process receives the stop signal and has drained its requests.
@@ -88,7 +88,8 @@
     let serving = tokio::task::spawn_local(serving);
     let daemon = daemon.serve().wait_for_stop().await;
     let daemon = daemon.change_context(DaemonError::Serve)?;
-    state.leaving.set(true);
+    let plan = state.begin_stop(Instant::now());
+    tokio::task::spawn_local(callers::end_requests(Rc::clone(&state), plan));
     serving.await.change_context(DaemonError::Serve)?;
     daemon.finish().await;
     Ok(())
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -10,22 +10,20 @@
     http::{HeaderValue, header::CONNECTION},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
+    sassafrasslip_core::{
+        dispatch::{StopPlan, stop_plan::DEREGISTRATION_DELAY},
+        events::LogEvent::ConnectionsCut,
+        log_event,
+    },
     std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
-        time::{Instant, sleep, timeout, timeout_at},
+        time::{Instant, sleep, sleep_until, timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// Time after the stop signal during which new connections are still accepted. The platform's load
-/// balancer probes readiness every second and stops sending connections after two failed probes.
-const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2600);
-
-/// Margin before the supervisor kills the process, within which the process exits on its own.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
-
 /// Time to accept the connections left in the listener's backlog after the deregistration delay.
 const BACKLOG_ACCEPT_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -53,11 +51,17 @@
     drop(listener);
     closing.cancel();
     tasks.close();
-    let remaining = state
-        .options
-        .stop_limit
-        .saturating_sub(DEREGISTRATION_DELAY + KILL_MARGIN);
-    let _ = timeout_at(Instant::now() + remaining, tasks.wait()).await;
+    let plan = state.stop_plan.get();
+    let ends_at = plan.map_or_else(Instant::now, |plan| plan.ends_at());
+    if timeout_at(ends_at, tasks.wait()).await.is_err() {
+        log_event!(ConnectionsCut, count = tasks.len());
+    }
+}
+
+/// Waits until the process is about to end, and has all requests answered that are not yet.
+pub async fn end_requests(state: Rc<GatewayState>, plan: StopPlan) {
+    sleep_until(plan.answer_until()).await;
+    state.ending.cancel();
 }
 
 async fn deregistration_delay_passed(draining: &CancellationToken) {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -4,7 +4,7 @@
     super::{
         admission::{self, AdmissionRefusal, AdmissionRequest, TargetLease},
         exchange::{self, AttemptError, AttemptInput, OpenAnswer},
-        relay,
+        relay::{self, StartedStream},
         reply::{LocalReply, ReplyBody},
         state::GatewayState,
     },
@@ -15,8 +15,8 @@
     sassafrasslip_core::{
         dispatch::{
             AttemptFailure, FailureContext, NextStep, PartRestriction, RepeatRule, RouteMatch,
-            RouteMiss, RouteTable, TargetId, TargetKey, WaitingRequest, decide_next_step,
-            failure::MAX_ARRIVALS, prompt_part::list_parts,
+            RouteMiss, RouteTable, StoppingRequest, TargetId, TargetKey, WaitingRequest,
+            decide_next_step, failure::MAX_ARRIVALS, prompt_part::list_parts,
         },
         events::LogEvent::{
             AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
@@ -37,6 +37,12 @@
 /// has no service.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Retry delay for callers of a gateway that stops. Their next connection goes to another gateway.
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Reason of the answers to requests that a stopping gateway does not serve to their end.
+const STOP_REASON: &str = "gateway stops";
+
 /// Time before the end of the caller's timeout at which the gateway answers itself, so that the
 /// response still reaches the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
@@ -88,7 +94,13 @@
         .map_or(usize::MAX, |table| table.limits.body_bytes);
     // The body is read even if the request is refused: closing a connection with unread bytes
     // resets it, and the reset can reach the caller before the refusal does.
-    let body = Limited::new(incoming, limit).collect().await;
+    let body = tokio::select! {
+        biased;
+        body = Limited::new(incoming, limit).collect() => body,
+        () = state.ending.cancelled() => {
+            return Err(LocalReply::not_run(STOP_REASON, STOP_RETRY_DELAY));
+        }
+    };
     let body = body.map_err(|error| {
         let status = match error.is::<http_body_util::LengthLimitError>() {
             true => StatusCode::PAYLOAD_TOO_LARGE,
@@ -132,6 +144,8 @@
     /// When the gateway must have answered: shortly before the caller's or the route's timeout,
     /// whichever ends first.
     pub(super) deadline: Instant,
+    /// The deadline as it was when the request arrived. A planned stop may move the other one.
+    timeout_at: Instant,
     parts: request::Parts,
     caller: CallerHead,
     body: Bytes,
@@ -149,10 +163,22 @@
     pub(super) longest_pause: Duration,
     /// Whether the latest attempt has brought an event of a stream.
     has_begun: bool,
+    /// Whether an attempt is under way, so that the request may run.
+    is_sent: bool,
     /// Whether the outcome has been counted and logged.
     has_outcome: bool,
 }
 
+/// How the work on a request has ended, apart from the events of its stream that follow.
+enum RequestOutcome {
+    /// With the whole answer of a target.
+    Answered(Response<ReplyBody>),
+    /// With a stream that has begun.
+    Started(Box<StartedStream>),
+    /// Without an answer of a target.
+    Failed(LocalReply),
+}
+
 impl Drop for RequestHandler {
     fn drop(&mut self) {
         if !self.has_outcome {
@@ -182,11 +208,13 @@
             .timeout
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         state.record_first_try(&service, arrived_at);
+        let deadline = arrived_at + caller_timeout.saturating_sub(ANSWER_MARGIN);
         Self {
             state,
             service,
             arrived_at,
-            deadline: arrived_at + caller_timeout.saturating_sub(ANSWER_MARGIN),
+            deadline,
+            timeout_at: deadline,
             matched,
             parts,
             caller,
@@ -200,6 +228,7 @@
             first_event: None,
             longest_pause: Duration::ZERO,
             has_begun: false,
+            is_sent: false,
             has_outcome: false,
         }
     }
@@ -220,34 +249,82 @@
     }
 
     async fn answer(mut self) -> Response<ReplyBody> {
+        if let Some(refusal) = self.stop_refusal(Instant::now()) {
+            return self.finish_failed(refusal, None);
+        }
         let mut failure = None;
+        let ending = self.state.ending.clone();
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.run(&mut failure) => outcome,
+            () = ending.cancelled() => RequestOutcome::Failed(self.stopped()),
+        };
+        match outcome {
+            RequestOutcome::Answered(response) => response,
+            RequestOutcome::Started(started) => started.into_response(self),
+            RequestOutcome::Failed(answer) => self.finish_failed(answer, failure),
+        }
+    }
+
+    /// Makes attempts until the request is answered or a stream has begun. `failure` is set to the
+    /// answer of a target that has reported a server error.
+    async fn run(&mut self, failure: &mut Option<Response<ReplyBody>>) -> RequestOutcome {
         loop {
             let open = match self.attempt(None).await {
                 Ok(open) => open,
                 Err(ControlFlow::Continue(())) => continue,
-                Err(ControlFlow::Break(answer)) => return self.finish_failed(answer, failure),
+                Err(ControlFlow::Break(answer)) => return RequestOutcome::Failed(answer),
             };
             let is_stream = open.head.is_event_stream && open.parts.status.is_success();
             if is_stream && self.matched.route.repeat.is_stream() {
-                match relay::start(&mut self, open).await {
-                    Ok(started) => return started.into_response(self),
+                match relay::start(self, open).await {
+                    Ok(started) => return RequestOutcome::Started(Box::new(started)),
                     Err(error) => match self.after_failure(&error).await {
                         ControlFlow::Continue(()) => continue,
-                        ControlFlow::Break(answer) => return self.finish_failed(answer, failure),
+                        ControlFlow::Break(answer) => return RequestOutcome::Failed(answer),
                     },
                 }
             }
             match self.collect(open).await {
-                Ok(ControlFlow::Break(response)) => return response,
+                Ok(ControlFlow::Break(response)) => return RequestOutcome::Answered(response),
                 // Another target may succeed where this one reported a server error. The error is
                 // kept and forwarded if no other target answers.
-                Ok(ControlFlow::Continue(response)) => failure = Some(response),
+                Ok(ControlFlow::Continue(response)) => *failure = Some(response),
                 Err(ControlFlow::Continue(())) => {}
-                Err(ControlFlow::Break(answer)) => return self.finish_failed(answer, failure),
+                Err(ControlFlow::Break(answer)) => return RequestOutcome::Failed(answer),
             }
         }
     }
 
+    /// Returns the refusal of a request that has not run and that the stopping gateway does not
+    /// serve. Otherwise moves the deadline to the end of the process if that is earlier.
+    fn stop_refusal(&mut self, now: Instant) -> Option<LocalReply> {
+        let plan = self.state.stop_plan.get()?;
+        let repeat = self.matched.route.repeat;
+        let usual = self.state.usual_duration(&self.service, repeat.is_stream());
+        let request = StoppingRequest {
+            deadline: self.timeout_at,
+            repeat,
+            usual,
+        };
+        let until = if repeat.is_stream() {
+            plan.ends_at()
+        } else {
+            plan.answer_until()
+        };
+        self.deadline = self.deadline.min(until);
+        let is_refused = self.runs == 0 && !plan.serves(&request, now);
+        is_refused.then(|| LocalReply::not_run(STOP_REASON, STOP_RETRY_DELAY))
+    }
+
+    /// Returns the answer to a request that is unanswered when the process is about to end.
+    fn stopped(&self) -> LocalReply {
+        if self.runs > 0 || self.is_sent {
+            return LocalReply::unknown(StatusCode::GATEWAY_TIMEOUT, STOP_REASON);
+        }
+        LocalReply::not_run(STOP_REASON, STOP_RETRY_DELAY)
+    }
+
     /// Waits for a target and makes one attempt there. With `resume_after`, the attempt resumes a
     /// stream after the event with that id.
     ///
@@ -286,6 +363,10 @@
         resume_after: Option<&str>,
     ) -> Result<OpenAnswer, ControlFlow<LocalReply>> {
         let now = Instant::now();
+        // The request may have been queued since before the stop.
+        if let Some(refusal) = self.stop_refusal(now) {
+            return Err(ControlFlow::Break(refusal));
+        }
         let started = self.state.start_parts(&self.caller.shared_parts, now);
         started.map_err(|restriction| ControlFlow::Break(self.restricted(&restriction)))?;
         if self.first_sent_at.is_none() {
@@ -297,6 +378,7 @@
         }
         self.attempts += 1;
         self.has_begun = false;
+        self.is_sent = true;
         let key = lease.key;
         self.tried.push(key);
         let input = AttemptInput {
@@ -416,6 +498,7 @@
         if error.failure == AttemptFailure::MayHaveRun {
             self.runs += 1;
         }
+        self.is_sent = false;
         let target = self.tried.last().copied();
         if let Some(key) = target {
             self.note_failure(key, error, now);
@@ -568,6 +651,10 @@
             metrics.longest_pause.observe(pause);
         }
         metrics.count(self.service.as_str(), "answered");
+        if status.is_success() {
+            let is_stream = self.matched.route.repeat.is_stream();
+            self.state.record_duration(&self.service, is_stream, total);
+        }
         let waited = self.sent_at() - self.arrived_at;
         log_event!(
             GatewayAnswered,
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -14,10 +14,10 @@
     bytes::Bytes,
     sassafrasslip_core::{
         dispatch::{
-            DatedSlowdown, DatedView, EraChange, FleetShare, GroupLoad, KnownEra, LimitNews,
-            PartQuarantine, PeerTable, RequestRate, RetryAllowance, RosterChange, RouteRule,
-            RouteTable, Slowdown, StoreEra, StoreStamp, TargetDeparture, TargetKey, TargetList,
-            TargetRoster,
+            DatedSlowdown, DatedView, DurationEstimate, EraChange, FleetShare, GroupLoad, KnownEra,
+            LimitNews, PartQuarantine, PeerTable, RequestRate, RetryAllowance, RosterChange,
+            RouteRule, RouteTable, Slowdown, StopPlan, StoreEra, StoreStamp, TargetDeparture,
+            TargetKey, TargetList, TargetRoster,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, StoreAnswerOutdated, StoreRestored, TableApplied,
@@ -39,6 +39,7 @@
         sync::Notify,
         time::{Duration, Instant},
     },
+    tokio_util::sync::CancellationToken,
 };
 
 /// Weight of the newest sample in the moving average of the time to the first answer.
@@ -117,11 +118,18 @@
     pub started_at: Instant,
     /// Whether the process has received the stop signal.
     pub leaving: Cell<bool>,
+    /// Times of the planned stop; `None` before the stop signal.
+    pub stop_plan: Cell<Option<StopPlan>>,
+    /// Cancelled when the requests that are still unanswered have to be answered, because the
+    /// process is about to end.
+    pub ending: CancellationToken,
     table: RefCell<Option<Rc<RouteTable>>>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Moving average, by service, of the time from the first attempt to the first event or the
     /// complete response.
     first_answers: RefCell<HashMap<ServiceName, Duration>>,
+    /// How long the streams (true) and the other requests of each service take.
+    durations: RefCell<HashMap<(ServiceName, bool), DurationEstimate>>,
 }
 
 fn log_limit(target: &str, limit: Option<RequestRate>, source: &'static str) {
@@ -181,9 +189,12 @@
             bounds: RefCell::default(),
             started_at: Instant::now(),
             leaving: Cell::new(false),
+            stop_plan: Cell::new(None),
+            ending: CancellationToken::new(),
             table: RefCell::default(),
             allowances: RefCell::default(),
             first_answers: RefCell::default(),
+            durations: RefCell::default(),
         }
     }
 
@@ -693,6 +704,33 @@
         *mean = mean.mul_f64(1.0 - FIRST_ANSWER_WEIGHT) + elapsed.mul_f64(FIRST_ANSWER_WEIGHT);
     }
 
+    /// Returns how long requests of a service take; `None` before the first sample.
+    pub fn usual_duration(
+        &self,
+        service: &ServiceName,
+        is_stream: bool,
+    ) -> Option<DurationEstimate> {
+        let durations = self.durations.borrow();
+        durations.get(&(service.clone(), is_stream)).copied()
+    }
+
+    /// Adds a sample to the estimate of how long requests of a service take.
+    pub fn record_duration(&self, service: &ServiceName, is_stream: bool, total: Duration) {
+        let mut durations = self.durations.borrow_mut();
+        durations
+            .entry((service.clone(), is_stream))
+            .and_modify(|estimate| estimate.record(total))
+            .or_insert_with(|| DurationEstimate::new(total));
+    }
+
+    /// Begins the planned stop, and returns its times.
+    pub fn begin_stop(&self, now: Instant) -> StopPlan {
+        let plan = StopPlan::new(now, self.options.stop_limit);
+        self.leaving.set(true);
+        self.stop_plan.set(Some(plan));
+        plan
+    }
+
     /// Records that a target has sent an event at `now`.
     pub fn record_progress(&self, key: TargetKey, now: Instant) {
         if let Some(target) = self.roster.borrow_mut().get_mut(key) {
