Give idle connections of callers the idle timeout in force

A caller that reused its connection within the idle timeout could find it closed: its whole request crossed the close and got neither an answer nor a refusal. It happened after the operator had raised the idle timeout or the header timeout, on every connection that was open at that time, for as long as it lived. The same held for connections from before the first configuration (10 s).

Cause: the limit was read once, when a connection was accepted. The class of fault is a setting that is copied at creation and outlives its change.

Change: the timer of the connections asks for the limit in force when it expires. A longer one holds at once, a shorter one from the next request on. Elsewhere: route timeouts, body limits and idle limits of channels to targets are read with each request.

Test: processes::unanswered_requests, two of the three cases failed before (raised while idle, older than the change).

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod group_bounds;
 pub mod group_probes;
 pub mod head_guard;
+pub mod head_timer;
 pub mod metrics;
 pub mod part_news;
 pub mod part_watch;
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -1,7 +1,7 @@
 //! Accepts connections from callers, serves HTTP on them, and closes them when the gateway stops.
 
 use {
-    super::{request, state::GatewayState},
+    super::{head_timer::HeadTimer, request, state::GatewayState},
     crate::{
         constants::{CALLER_WRITE_TIMEOUT, MAX_CALLER_CONNECTIONS},
         entry::callers::stall::StallGuard,
@@ -9,7 +9,7 @@
     },
     http::{HeaderValue, header::CONNECTION},
     hyper::{server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioIo,
     sassafrasslip_core::{
         dispatch::{StopPlan, stop_plan::DEREGISTRATION_DELAY},
         events::LogEvent::ConnectionsCut,
@@ -31,9 +31,6 @@
 /// connections. The first request of a newly opened connection may still be in transit.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
 
-/// Time in which a caller must send a request head while no configuration has been read yet.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Accepts connections until the deregistration delay after the stop signal has passed, then waits
 /// for the requests in flight, at most until shortly before the supervisor kills the process.
 pub async fn serve(state: Rc<GatewayState>, listener: TcpListener, draining: CancellationToken) {
@@ -90,7 +87,7 @@
     _permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
-    let limits = state.table().map(|table| table.limits);
+    let head_timeout = state.head_timeout.clone();
     let stream = StallGuard::new(stream, CALLER_WRITE_TIMEOUT);
     let has_request = Rc::new(Cell::new(false));
     let seen = Rc::clone(&has_request);
@@ -108,14 +105,9 @@
             Ok::<_, Infallible>(response)
         }
     });
-    // A keep-alive connection may be idle for the idle timeout before its next request head, which
-    // may then take the header timeout.
-    let header_timeout = limits.map_or(HEADER_TIMEOUT, |limits| {
-        limits.header_timeout + limits.idle_timeout
-    });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout)
+        .header_read_timeout(head_timeout.get())
+        .timer(HeadTimer::new(head_timeout))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     tokio::select! {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,6 +7,7 @@
         admission::ServiceQueue,
         channels::{ChannelPool, TargetChannel},
         group_bounds::GroupBounds,
+        head_timer::HeadTimeout,
         metrics::GatewayMetrics,
         peers::list_digest,
     },
@@ -45,6 +46,9 @@
 /// Weight of the newest sample in the moving average of the time to the first answer.
 const FIRST_ANSWER_WEIGHT: f64 = 0.05;
 
+/// Time in which a caller must send a request head while no configuration has been read yet.
+const UNCONFIGURED_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Uptime from which on a gateway counts as settled and is preferred as a placer.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 
@@ -123,6 +127,8 @@
     /// Cancelled when the requests that are still unanswered have to be answered, because the
     /// process is about to end.
     pub ending: CancellationToken,
+    /// Time that callers have for the next request on their connections.
+    pub head_timeout: HeadTimeout,
     table: RefCell<Option<Rc<RouteTable>>>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Moving average, by service, of the time from the first attempt to the first event or the
@@ -191,6 +197,7 @@
             leaving: Cell::new(false),
             stop_plan: Cell::new(None),
             ending: CancellationToken::new(),
+            head_timeout: HeadTimeout::new(UNCONFIGURED_HEAD_TIMEOUT),
             table: RefCell::default(),
             allowances: RefCell::default(),
             first_answers: RefCell::default(),
@@ -296,6 +303,11 @@
             .roster
             .borrow_mut()
             .set_services(services, Instant::now());
+        // A connection may be idle for the idle timeout before its next request head, which may then
+        // take the header timeout.
+        let limits = &table.limits;
+        self.head_timeout
+            .set(limits.header_timeout + limits.idle_timeout);
         *self.table.borrow_mut() = Some(Rc::new(table));
         *self.document.borrow_mut() = document;
         self.document_era.set(era);
