Keep a silent target's stream until another target has taken it over

Streams of sound targets that were silent for 1.1 s and went on were cut when no other target took them over: it rejected the resumption, broke it off or did not answer.

Cause: a silence closed the connection first and looked for another target then. The class of fault is giving up a working resource before its replacement holds.

Change: as with slow ranks, the stream stays with its target until the other one has answered, and goes on with whichever is first. Without an answer it stays. Elsewhere: a stream without its first event still starts over at another target before the first has ended; it ends with a whole 502 and not with a cut (open).

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -138,15 +138,34 @@
     is_kept: bool,
     is_poolable: bool,
     body: Incoming,
+    /// Result of a read that has not been returned yet.
+    peeked: Option<ReadResult>,
 }
 
+/// Next bytes of a body, or `None` at its end.
+type ReadResult = result::Result<Option<Bytes>, hyper::Error>;
+
 impl OpenAnswer {
     /// Returns the next bytes of the body, or `None` at its end.
     ///
     /// # Errors
     ///
     /// Fails if the connection breaks.
-    pub async fn next(&mut self) -> result::Result<Option<Bytes>, hyper::Error> {
+    pub async fn next(&mut self) -> ReadResult {
+        match self.peeked.take() {
+            Some(read) => read,
+            None => self.read().await,
+        }
+    }
+
+    /// Waits until [`Self::next`] returns without waiting.
+    pub async fn wait_readable(&mut self) {
+        if self.peeked.is_none() {
+            self.peeked = Some(self.read().await);
+        }
+    }
+
+    async fn read(&mut self) -> ReadResult {
         while let Some(frame) = self.body.frame().await {
             if let Ok(data) = frame?.into_data() {
                 return Ok(Some(data));
@@ -293,6 +312,7 @@
         is_kept,
         is_poolable: plan != ChannelPlan::SingleUse,
         body,
+        peeked: None,
     };
     check_head(state, answer).await
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -31,8 +31,8 @@
 /// hundred milliseconds to resume the stream.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
 
-/// Time in which another target must begin to answer a stream that moves to it from a slow rank. It
-/// is as long as a pass with a slow rank may take.
+/// Time in which another target must begin to answer a stream that moves to it from a slow rank or a
+/// silent target. It is as long as a pass with a slow rank may take.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1100);
 
 /// Interval at which the progress of other targets is checked again once the limit has passed.
@@ -41,6 +41,19 @@
 /// Maximum age of an event of another target that counts as progress.
 const PROGRESS_WINDOW: Duration = Duration::from_millis(400);
 
+/// Description of a target that is silent while others make progress.
+const SILENCE_FAULT: &str = "target is silent";
+
+/// What a stream brings next.
+enum StreamStep {
+    /// Complete events.
+    Events(Bytes),
+    /// Regular end of the stream.
+    End,
+    /// No event for too long while other targets make progress. A retry has been reserved.
+    Silence,
+}
+
 /// Stream whose first events have been received, or that has ended without any.
 pub struct StartedStream {
     open: OpenAnswer,
@@ -67,8 +80,9 @@
         is_complete: false,
     };
     match next_events(handler, &mut started.open, &mut started.splitter).await? {
-        Some(events) => started.first = events,
-        None => started.is_complete = true,
+        StreamStep::Events(events) => started.first = events,
+        StreamStep::End => started.is_complete = true,
+        StreamStep::Silence => return Err(AttemptError::broken(SILENCE_FAULT)),
     }
     handler.state.record_success(started.open.lease.key);
     let elapsed = handler.sent_at().elapsed();
@@ -129,12 +143,13 @@
             };
             let since = Instant::now();
             match next_events(handler, open, &mut self.splitter).await {
-                Ok(Some(events)) => {
+                Ok(StreamStep::Events(events)) => {
                     self.record_pause(handler, since);
                     handler.longest_pause = handler.longest_pause.max(waiting_since.elapsed());
                     return Ok(Some(events));
                 }
-                Ok(None) => self.is_complete = true,
+                Ok(StreamStep::End) => self.is_complete = true,
+                Ok(StreamStep::Silence) => self.leave_silent_target(handler).await,
                 Err(error) => self.resume_elsewhere(handler, &error).await?,
             }
         }
@@ -178,6 +193,34 @@
         }
     }
 
+    /// Moves the stream to another target after a silence. A sound target may be silent for a while
+    /// and go on, so that the stream stays with it until the other target has answered, and goes on
+    /// with whichever is first.
+    async fn leave_silent_target(&mut self, handler: &mut RequestHandler) {
+        let (Some(open), Some(last_id)) = (&mut self.open, self.splitter.last_id()) else {
+            return;
+        };
+        let key = open.lease.key;
+        let Some(lease) = handler.acquire_other_target() else {
+            return;
+        };
+        let last_id = String::from_utf8_lossy(last_id).into_owned();
+        let attempt = timeout(MOVE_TIMEOUT, handler.attempt_at(lease, Some(&last_id)));
+        let attempt = tokio::select! {
+            biased;
+            () = open.wait_readable() => None,
+            attempt = attempt => Some(attempt),
+        };
+        match attempt {
+            Some(Ok(Ok(open))) if is_stream(&open.parts, &open) => {
+                handler.state.record_failure(key, Instant::now());
+                handler.record_left_target();
+                self.restart_at(handler, open, &last_id, SILENCE_FAULT);
+            }
+            Some(_) | None => handler.return_to(key),
+        }
+    }
+
     /// Continues the stream with the answer of another target, which begins after `last_event`.
     fn restart_at(
         &mut self,
@@ -253,17 +296,19 @@
     parts.status.is_success() && open.head.is_event_stream
 }
 
-/// Returns the next complete events, or `None` at the end of the stream.
+/// Returns the next complete events, the end of the stream, or a silence of the target.
 async fn next_events(
     handler: &mut RequestHandler,
     open: &mut OpenAnswer,
     splitter: &mut EventSplitter,
-) -> Result<Option<Bytes>, AttemptError> {
+) -> Result<StreamStep, AttemptError> {
     let key = open.lease.key;
     // The silence limit counts from here: bytes that do not complete an event are no progress.
     let silent_since = Instant::now();
     loop {
-        let read = read_with_silence_limit(handler, open, silent_since).await?;
+        let Some(read) = read_with_silence_limit(handler, open, silent_since).await? else {
+            return Ok(StreamStep::Silence);
+        };
         let Some(bytes) = read else {
             if splitter.pending_bytes() > 0 {
                 return Err(AttemptError::closed(
@@ -273,7 +318,7 @@
             if open.ends_with_connection() && !handler.has_begun() {
                 return Err(AttemptError::closed("stream ends before its first event"));
             }
-            return Ok(None);
+            return Ok(StreamStep::End);
         };
         let events = splitter.push(&bytes);
         if splitter.pending_bytes() > MAX_EVENT_BYTES {
@@ -281,25 +326,25 @@
         }
         if !events.is_empty() {
             handler.record_progress(key, Instant::now());
-            return Ok(Some(events));
+            return Ok(StreamStep::Events(events));
         }
     }
 }
 
-/// Reads the next bytes. Gives up a silent target only if the stream can move and other targets of
-/// the service make progress. The ranks of a group run each pass together and therefore stall
+/// Reads the next bytes, or `None` at the end of the stream. Returns no result after a silence, if the
+/// stream can move and other targets of the service make progress. The ranks of a group run each pass together and therefore stall
 /// together, so that a move within a stalled group would not help.
 async fn read_with_silence_limit(
     handler: &mut RequestHandler,
     open: &mut OpenAnswer,
     silent_since: Instant,
-) -> Result<Option<Bytes>, AttemptError> {
+) -> Result<Option<Option<Bytes>>, AttemptError> {
     let key = open.lease.key;
     let mut check_at = silent_since + SILENCE_LIMIT;
     loop {
         let until = check_at.min(handler.deadline);
         match timeout_at(until, open.next()).await {
-            Ok(Ok(bytes)) => return Ok(bytes),
+            Ok(Ok(bytes)) => return Ok(Some(bytes)),
             Ok(Err(error)) => return Err(AttemptError::closed(describe_exchange(&error))),
             Err(_) => {}
         }
@@ -315,7 +360,7 @@
                 .state
                 .has_other_progress(&handler.service, key, now - PROGRESS_WINDOW);
         if others_progress && handler.reserve_move(now) {
-            return Err(AttemptError::broken("target is silent"));
+            return Ok(None);
         }
         check_at = now + SILENCE_CHECK_INTERVAL;
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -412,6 +412,12 @@
         self.reserve_move(Instant::now()).then_some(lease)
     }
 
+    /// Takes a slot at another target for a stream whose target is silent; `None` if there is none.
+    /// The retry has been reserved before.
+    pub(super) fn acquire_other_target(&self) -> Option<TargetLease> {
+        admission::acquire_for_move(&self.state, &self.service, &self.tried)
+    }
+
     /// Records that the request has run at a target that it has left for another one.
     pub(super) fn record_left_target(&mut self) {
         self.has_reserved_retry = false;
