Log and count requests whose connection ends without an answer

A connection that ended while its request had no answer left no line that named the request and the error: 2027 is only written once the request is routed, and says that the caller left, whoever closed the connection.

Change: event 2028 with the error of the connection, or 'stopped' where the process ended or the task failed, and the counter gateway_unanswered.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -72,6 +72,7 @@
     2025 StreamMoved Info "broken stream continues at another target";
     2026 StreamCut Warn "stream cut so that the caller sees an incomplete answer";
     2027 CallerLeft Info "caller disconnected before the end of the answer";
+    2028 RequestUnanswered Info "connection of a caller ended before the head of the answer";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -1,21 +1,29 @@
 //! Accepts connections from callers, serves HTTP on them, and closes them when the gateway stops.
 
 use {
-    super::{head_timer::HeadTimer, request, state::GatewayState},
+    super::{channels::describe_exchange, head_timer::HeadTimer, request, state::GatewayState},
     crate::{
         constants::{CALLER_WRITE_TIMEOUT, MAX_CALLER_CONNECTIONS},
         entry::callers::stall::StallGuard,
         listen,
     },
     http::{HeaderValue, header::CONNECTION},
-    hyper::{server::conn::http1, service::service_fn},
+    hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     sassafrasslip_core::{
         dispatch::{StopPlan, stop_plan::DEREGISTRATION_DELAY},
-        events::LogEvent::ConnectionsCut,
+        events::LogEvent::{ConnectionsCut, RequestUnanswered},
         log_event,
     },
-    std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, sync::Arc, time::Duration},
+    sassafrasslip_platform::caller::decode_caller_id,
+    std::{
+        cell::{Cell, RefCell},
+        convert::Infallible,
+        pin::pin,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
@@ -91,9 +99,14 @@
     let stream = StallGuard::new(stream, CALLER_WRITE_TIMEOUT);
     let has_request = Rc::new(Cell::new(false));
     let seen = Rc::clone(&has_request);
+    let open_request = OpenRequest::new(Rc::clone(&state));
+    let open = Rc::clone(&open_request.opened);
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
         seen.set(true);
+        let opened = (request_id(&request), Instant::now());
+        open.replace(Some(opened));
+        let open = Rc::clone(&open);
         async move {
             let mut response = request::serve(Rc::clone(&state), request).await;
             // Announcing the close in the response keeps the caller from sending another request
@@ -102,6 +115,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
+            open.take();
             Ok::<_, Infallible>(response)
         }
     });
@@ -111,15 +125,64 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     tokio::select! {
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => return open_request.finish(ended),
         () = closing.cancelled() => {}
     }
     if !has_request.get() {
         let first_request = timeout(FIRST_REQUEST_GRACE, connection.as_mut());
-        if first_request.await.is_ok() {
-            return;
+        if let Ok(ended) = first_request.await {
+            return open_request.finish(ended);
         }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let ended = connection.await;
+    open_request.finish(ended);
+}
+
+/// Request of a connection that has no answer yet. If the connection ends meanwhile, that is counted
+/// and logged.
+struct OpenRequest {
+    state: Rc<GatewayState>,
+    /// Id and arrival of the request.
+    opened: Rc<RefCell<Option<(String, Instant)>>>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.log("stopped");
+    }
+}
+
+impl OpenRequest {
+    fn new(state: Rc<GatewayState>) -> Self {
+        Self {
+            state,
+            opened: Rc::default(),
+        }
+    }
+
+    /// Records how the connection has ended.
+    fn finish(self, ended: hyper::Result<()>) {
+        match ended {
+            Ok(()) => self.log("closed"),
+            Err(error) => self.log(&describe_exchange(&error)),
+        }
+    }
+
+    fn log(&self, cause: &str) {
+        if let Some((request_id, since)) = self.opened.take() {
+            self.state.metrics.unanswered.inc();
+            log_event!(
+                RequestUnanswered,
+                request_id = request_id,
+                cause = cause,
+                after_ms = since.elapsed().as_millis()
+            );
+        }
+    }
+}
+
+fn request_id(request: &Request<Incoming>) -> String {
+    let id = decode_caller_id(request.headers());
+    id.unwrap_or_default().to_owned()
 }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -36,6 +36,8 @@
     pub waits: Histogram,
     /// Attempts after the first one of a request.
     pub retries: Counter,
+    /// Requests whose connection ended before the head of an answer was sent.
+    pub unanswered: Counter,
     /// Streams that were resumed at another target.
     pub moved_streams: Counter,
     /// Ejections of targets after failures.
@@ -70,6 +72,7 @@
             longest_pause: duration_histogram(),
             waits: duration_histogram(),
             retries: Counter::default(),
+            unanswered: Counter::default(),
             moved_streams: Counter::default(),
             ejections: Counter::default(),
             channels: Counter::default(),
@@ -101,6 +104,12 @@
             );
             let retries = metrics.retries.clone();
             registry.register("gateway_retries", "Attempts after the first one", retries);
+            let unanswered = metrics.unanswered.clone();
+            registry.register(
+                "gateway_unanswered",
+                "Requests whose connection ended before the head of an answer",
+                unanswered,
+            );
             registry.register(
                 "gateway_moved_streams",
                 "Streams that were resumed at another target",
