Serve requests on the last new connections of a stopping gateway

Cause: requests counted as late once new connections are no longer accepted. The first requests of the last ones arrive up to 0.4 s after that.

Change: requests count as late 3.0 s after the signal.

--- a/crates/core/src/dispatch/stop_plan.rs
+++ b/crates/core/src/dispatch/stop_plan.rs
@@ -11,6 +11,9 @@
 /// balancer probes readiness every second and stops sending connections after two failed probes.
 pub const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2600);
 
+/// Time after which the first requests have arrived on the connections that were accepted last.
+const ARRIVAL_TIME: Duration = Duration::from_millis(400);
+
 /// Margin before the supervisor kills the process, within which the process exits on its own.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 
@@ -83,7 +86,7 @@
     pub fn new(now: Instant, grace: Duration) -> Self {
         let remaining = grace.saturating_sub(KILL_MARGIN);
         Self {
-            late_from: now + DEREGISTRATION_DELAY,
+            late_from: now + DEREGISTRATION_DELAY + ARRIVAL_TIME,
             answer_until: now + remaining.saturating_sub(DELIVERY_TIME),
             ends_at: now + remaining,
         }
@@ -99,9 +102,9 @@
         self.ends_at
     }
 
-    /// Returns whether a request that has arrived at `now` is served. While the load balancer still
-    /// sends connections, a request is served if requests of its kind usually end in time. Later
-    /// ones have to be certain to: a request that may not be repeated by its deadline, and others
+    /// Returns whether a request that has arrived at `now` is served. While requests arrive on
+    /// new connections, one is served if requests of its kind usually end in time. Later ones have
+    /// to be certain to: a request that may not be repeated by its deadline, and others
     /// by the longest duration that is usual.
     pub fn serves(&self, request: &StoppingRequest, now: Instant) -> bool {
         let ends_by = |usual: Duration| now + usual <= self.answer_until;
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -53,6 +53,7 @@
     early_unsafe_request_of_unknown_length: (ONCE, (500, LONG), None, true);
     early_stream_of_usual_length: (STREAM, (500, LONG), Some(3_000), true);
     early_stream_that_usually_takes_too_long: (STREAM, (2_500, LONG), Some(6_000), false);
+    stream_on_the_last_new_connection: (STREAM, (2_900, LONG), Some(1_500), true);
     late_unsafe_request_with_a_deadline_in_time: (ONCE, (3_000, 4_000), None, true);
     late_unsafe_request_of_usual_length: (ONCE, (3_000, LONG), Some(300), false);
     late_stream_that_cannot_be_resumed: (STREAM, (3_000, LONG), Some(1_000), false);
