Log what stays the same when a caller sends a request again

Lines 2021 and 2022 name the last part of the prompt and a hash of method, host, path and body, and 2021 says whether the target had sent the head of its answer.

--- a/crates/core/src/dispatch/prompt_part.rs
+++ b/crates/core/src/dispatch/prompt_part.rs
@@ -1,6 +1,9 @@
 //! Parts of prompts that requests share.
 
-use {std::fmt, xxhash_rust::xxh3::xxh3_64};
+use {
+    std::fmt,
+    xxhash_rust::xxh3::{Xxh3, xxh3_64},
+};
 
 /// Highest number of shared parts of a request that are considered. Prompts are nested a few levels
 /// deep; a caller that names more gets the rest ignored.
@@ -16,6 +19,17 @@
         Self(xxh3_64(name.to_ascii_lowercase().as_bytes()))
     }
 
+    /// Creates the part that stands for a whole request, by what stays the same when its caller sends
+    /// it again.
+    pub fn of_request(method: &str, host: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Xxh3::new();
+        for field in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
+            hasher.update(&field.len().to_le_bytes());
+            hasher.update(field);
+        }
+        Self(hasher.digest())
+    }
+
     /// Creates the part from the hash that a peer has sent.
     pub fn from_hash(hash: u64) -> Self {
         Self(hash)
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -14,9 +14,9 @@
     hyper::{Request, Response, body::Incoming},
     sassafrasslip_core::{
         dispatch::{
-            AttemptFailure, FailureContext, NextStep, PartRestriction, RepeatRule, RouteMatch,
-            RouteMiss, RouteTable, StoppingRequest, TargetId, TargetKey, WaitingRequest,
-            decide_next_step, failure::MAX_ARRIVALS, prompt_part::list_parts,
+            AttemptFailure, FailureContext, NextStep, PartRestriction, PromptPart, RepeatRule,
+            RouteMatch, RouteMiss, RouteTable, StoppingRequest, TargetId, TargetKey,
+            WaitingRequest, decide_next_step, failure::MAX_ARRIVALS, prompt_part::list_parts,
         },
         events::LogEvent::{
             AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
@@ -149,6 +149,10 @@
     parts: request::Parts,
     caller: CallerHead,
     body: Bytes,
+    /// Stands for the request, also when its caller sends it again under another id.
+    whole: PromptPart,
+    /// Whether the latest attempt has brought the head of an answer.
+    has_head: bool,
     revision: u64,
     tried: Vec<TargetKey>,
     /// Number of attempts after which the request may have run.
@@ -209,6 +213,8 @@
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         state.record_first_try(&service, arrived_at);
         let deadline = arrived_at + caller_timeout.saturating_sub(ANSWER_MARGIN);
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let whole = PromptPart::of_request(parts.method.as_str(), &caller.host, path, &body);
         Self {
             state,
             service,
@@ -219,6 +225,8 @@
             parts,
             caller,
             body,
+            whole,
+            has_head: false,
             revision: table.revision,
             tried: Vec::new(),
             runs: 0,
@@ -379,6 +387,7 @@
         self.attempts += 1;
         self.has_begun = false;
         self.is_sent = true;
+        self.has_head = false;
         let key = lease.key;
         self.tried.push(key);
         let input = AttemptInput {
@@ -394,7 +403,10 @@
             head_until: self.head_until(now),
         };
         match exchange::send(&self.state, lease, &input).await {
-            Ok(open) => Ok(open),
+            Ok(open) => {
+                self.has_head = true;
+                Ok(open)
+            }
             Err(error) => Err(self.after_failure(&error).await),
         }
     }
@@ -442,6 +454,7 @@
     pub(super) fn return_to(&mut self, key: TargetKey) {
         self.has_reserved_retry = false;
         self.has_begun = true;
+        self.has_head = true;
         self.tried.retain(|tried| *tried != key);
         self.tried.push(key);
     }
@@ -532,8 +545,11 @@
             target = name.as_deref().unwrap_or("left"),
             failure = format_args!("{:?}", error.failure),
             fault = error.fault,
+            head = self.has_head,
             begun = self.has_begun,
             parts = list_parts(&self.caller.shared_parts),
+            own_part = list_parts(self.caller.own_part.as_slice()),
+            request = self.whole,
             team = self
                 .matched
                 .team
@@ -669,6 +685,9 @@
             route = self.matched.route.name,
             service = self.service,
             attempts = self.attempts,
+            parts = list_parts(&self.caller.shared_parts),
+            own_part = list_parts(self.caller.own_part.as_slice()),
+            request = self.whole,
             waited_ms = waited.as_millis(),
             first_ms = first.as_millis(),
             longest_pause_ms = self.longest_pause.as_millis(),
