Keep requests that crash targets away from the next target

Cause: crashes were attributed to shared prompt parts alone. The request's shared part is sound, so that answers to other requests cleared it, and nothing recognized the request itself when its gateway retried it or its caller sent it again under another id. Requests without a prompt were not looked at.

Change: a hash of method, host, path, prompt and body identifies a request of any kind. The one that a crashed target had begun to answer is refused by all gateways for 30 s and then tried again by one of them; several are tried one at a time. One that was only waiting is sent to another target as before, and becomes a suspect if that one crashes too. A request that is common to two incidents is in quarantine. Load reports carry crashes, answers and quarantines of requests in new fields, which earlier builds skip. Of the proofs that parts and requests are sound, the latest are kept when there are too many.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -19,6 +19,7 @@
 pub mod prompt_part;
 pub mod rank_status;
 pub mod request_limits;
+pub mod request_quarantine;
 pub mod retry_allowance;
 pub mod route_table;
 pub mod slow_ranks;
@@ -47,6 +48,9 @@
     prompt_part::PromptPart,
     rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
     request_limits::{FleetShare, LimitNews, RequestLimits, RequestRate, StartPace},
+    request_quarantine::{
+        CrashEvidence, RequestChange, RequestQuarantine, RequestRestriction, RequestTraits,
+    },
     retry_allowance::RetryAllowance,
     route_table::{
         CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule,
--- a/crates/core/src/dispatch/part_quarantine.rs
+++ b/crates/core/src/dispatch/part_quarantine.rs
@@ -67,6 +67,10 @@
 /// Highest number of suspects of one crash.
 const MAX_SUSPECTS: usize = 128;
 
+/// Highest number of parts of one crash that were only waiting. They are in each load report for as
+/// long as the crash is kept.
+const MAX_WAITING: usize = 32;
+
 /// Highest number of parts with a proof that are kept.
 const MAX_PROOFS: usize = 4096;
 
@@ -104,6 +108,9 @@
     pub at: Instant,
     /// Parts of the requests, each of which may be the cause.
     pub suspects: Vec<PromptPart>,
+    /// Parts of requests that the target may not have begun at all. They count only if no other
+    /// suspect is left.
+    pub waiting: Vec<PromptPart>,
 }
 
 /// Answer that shows that a part is sound.
@@ -175,6 +182,19 @@
     suspects: BTreeSet<PromptPart>,
     /// Suspects of this gateway's own requests, which it reports to its peers.
     own_suspects: BTreeSet<PromptPart>,
+    waiting: BTreeSet<PromptPart>,
+    own_waiting: BTreeSet<PromptPart>,
+}
+
+impl Crash {
+    /// Returns the suspects, those included that were only waiting.
+    fn all(&self) -> impl Iterator<Item = PromptPart> + '_ {
+        self.suspects.iter().chain(&self.waiting).copied()
+    }
+
+    fn has(&self, part: PromptPart) -> bool {
+        self.suspects.contains(&part) || self.waiting.contains(&part)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -209,6 +229,7 @@
             crash,
             at: now,
             suspects: parts.to_vec(),
+            waiting: Vec::new(),
         };
         self.add_suspects(&report, now);
         if let Some(crash) = self.crashes.get_mut(&report.crash) {
@@ -217,6 +238,37 @@
         self.review()
     }
 
+    /// Records that a target has crashed while a request of this gateway with the given parts was
+    /// waiting there, so that the target may not have begun it; returns the changes.
+    pub fn record_waiting(
+        &mut self,
+        crash: CrashId,
+        parts: &[PromptPart],
+        now: Instant,
+    ) -> Vec<PartChange> {
+        let report = CrashReport {
+            crash,
+            at: now,
+            suspects: Vec::new(),
+            waiting: parts.to_vec(),
+        };
+        self.add_suspects(&report, now);
+        if let Some(crash) = self.crashes.get_mut(&report.crash) {
+            add_bounded(&mut crash.own_waiting, parts, MAX_WAITING);
+        }
+        // Parts that are near one crash only are not refused.
+        if parts.iter().any(|part| self.is_near_another(*part, crash)) {
+            self.review()
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn is_near_another(&self, part: PromptPart, crash: CrashId) -> bool {
+        let mut others = self.crashes.iter().filter(|(id, _)| **id != crash);
+        self.quarantined.contains_key(&part) || others.any(|(_, other)| other.has(part))
+    }
+
     /// Records a crash that a peer has reported; returns the changes.
     pub fn note_crash(&mut self, report: &CrashReport, now: Instant) -> Vec<PartChange> {
         if self.add_suspects(report, now) {
@@ -239,11 +291,13 @@
             at: report.at,
             suspects: BTreeSet::new(),
             own_suspects: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            own_waiting: BTreeSet::new(),
         });
-        let known = crash.suspects.len();
-        let room = MAX_SUSPECTS.saturating_sub(known);
-        crash.suspects.extend(report.suspects.iter().take(room));
-        crash.suspects.len() > known
+        let known = crash.suspects.len() + crash.waiting.len();
+        add_bounded(&mut crash.suspects, &report.suspects, MAX_SUSPECTS);
+        add_bounded(&mut crash.waiting, &report.waiting, MAX_WAITING);
+        crash.suspects.len() + crash.waiting.len() > known
     }
 
     /// Records that a target has begun to answer a request of this gateway with the given shared
@@ -272,12 +326,7 @@
     fn add_proof(&mut self, proof: PartProof, is_own: bool, now: Instant) -> Vec<PartChange> {
         let PartProof { part, at } = proof;
         if !self.proofs.contains_key(&part) && self.proofs.len() >= MAX_PROOFS {
-            self.proofs
-                .retain(|_, proof| now < proof.at + PROOF_RETENTION);
-            if self.proofs.len() >= MAX_PROOFS && !self.holds.contains_key(&part) {
-                // A part without a proof is only refused for longer after a crash.
-                return Vec::new();
-            }
+            self.drop_oldest_proofs(now);
         }
         self.proofs.insert(part, Proof { at, is_own });
         self.trial = self.trial.filter(|trial| trial.part != part);
@@ -298,6 +347,18 @@
         changes
     }
 
+    /// Makes room for proofs. A part without a proof is only refused for longer after a crash.
+    fn drop_oldest_proofs(&mut self, now: Instant) {
+        let mut times: Vec<_> = self.proofs.values().map(|proof| proof.at).collect();
+        let (_, median, _) = times.select_nth_unstable(MAX_PROOFS / 2);
+        let oldest = *median;
+        let known: BTreeSet<_> = self.crashes.values().flat_map(Crash::all).collect();
+        self.proofs.retain(|part, proof| {
+            let is_recent = proof.at > oldest && now < proof.at + PROOF_RETENTION;
+            is_recent || known.contains(part)
+        });
+    }
+
     /// Records a part that a peer has in quarantine; returns the changes.
     pub fn note_quarantined(&mut self, news: QuarantinedPart, now: Instant) -> Vec<PartChange> {
         let is_over = now >= news.crashed_at + news.hold() * 2;
@@ -389,7 +450,12 @@
     /// Returns the number of suspects of all known crashes.
     pub fn suspects(&self) -> usize {
         let crashes = self.crashes.values();
-        crashes.map(|crash| crash.suspects.len()).sum()
+        crashes.map(|crash| crash.all().count()).sum()
+    }
+
+    /// Returns the number of parts that are known to be sound.
+    pub fn proofs(&self) -> usize {
+        self.proofs.len()
     }
 
     /// Returns the number of parts in quarantine.
@@ -408,15 +474,16 @@
             crash: *id,
             at: crash.at,
             suspects: self.open_suspects(crash, &crash.own_suspects).collect(),
+            waiting: self.open_suspects(crash, &crash.own_waiting).collect(),
         });
-        reports.filter(|report| !report.suspects.is_empty())
+        reports.filter(|report| !report.suspects.is_empty() || !report.waiting.is_empty())
     }
 
     /// Returns the latest answers to this gateway's requests with parts that are suspects of a
     /// crash, as they are sent to the peers.
     pub fn proof_news(&self) -> impl Iterator<Item = PartProof> {
-        let suspects = self.crashes.values().flat_map(|crash| &crash.suspects);
-        let suspects: BTreeSet<_> = suspects.chain(self.holds.keys()).copied().collect();
+        let suspects = self.crashes.values().flat_map(Crash::all);
+        let suspects: BTreeSet<_> = suspects.chain(self.holds.keys().copied()).collect();
         suspects.into_iter().filter_map(|part| {
             let proof = self.proofs.get(&part).filter(|proof| proof.is_own)?;
             Some(PartProof { part, at: proof.at })
@@ -433,6 +500,15 @@
         proof.is_some_and(|proof| proof.at >= crashed_at)
     }
 
+    /// Returns whether a part is a suspect of a crash before `until`.
+    pub fn was_suspect(&self, part: PromptPart, until: Instant) -> bool {
+        let mut crashes = self
+            .crashes
+            .values()
+            .filter(|crash| crash.at < until && crash.has(part));
+        crashes.any(|crash| self.counted_suspects(crash).contains(&part))
+    }
+
     /// Returns whether a target answered a request with a part not long before a crash.
     fn was_sound(&self, part: PromptPart, crashed_at: Instant) -> bool {
         let proof = self.proofs.get(&part);
@@ -449,6 +525,17 @@
         parts.filter(|part| !self.is_exonerated(*part, crash.at))
     }
 
+    /// Returns the suspects of a crash that have not been answered since. Those that were waiting
+    /// count only if there is no other.
+    fn counted_suspects(&self, crash: &Crash) -> Vec<PromptPart> {
+        let begun: Vec<_> = self.open_suspects(crash, &crash.suspects).collect();
+        if begun.is_empty() {
+            self.open_suspects(crash, &crash.waiting).collect()
+        } else {
+            begun
+        }
+    }
+
     /// Puts parts in quarantine that explain several crashes, and computes the times of refusal.
     fn review(&mut self) -> Vec<PartChange> {
         let mut changes = Vec::new();
@@ -465,14 +552,17 @@
 
     /// Counts further crashes against the parts that are already in quarantine.
     fn extend_quarantines(&mut self, changes: &mut Vec<PartChange>) {
-        let mut crashes: Vec<_> = self.crashes.values().collect();
-        crashes.sort_by_key(|crash| crash.at);
-        for crash in crashes {
-            for part in &crash.suspects {
+        let crashes = self.crashes.values();
+        let mut crashes: Vec<_> = crashes
+            .map(|crash| (crash.at, self.counted_suspects(crash)))
+            .collect();
+        crashes.sort_by_key(|(at, _)| *at);
+        for (at, suspects) in crashes {
+            for part in &suspects {
                 if let Some(known) = self.quarantined.get_mut(part)
-                    && crash.at > known.crashed_at + INCIDENT_GAP
+                    && at > known.crashed_at + INCIDENT_GAP
                 {
-                    known.crashed_at = crash.at;
+                    known.crashed_at = at;
                     known.incidents += 1;
                     changes.push(PartChange::Quarantined(*known));
                 }
@@ -485,7 +575,7 @@
     fn find_culprit(&self) -> Option<QuarantinedPart> {
         let mut times: BTreeMap<PromptPart, Vec<Instant>> = BTreeMap::new();
         for crash in self.unexplained() {
-            for part in self.open_suspects(crash, &crash.suspects) {
+            for part in self.counted_suspects(crash) {
                 times.entry(part).or_default().push(crash.at);
             }
         }
@@ -518,7 +608,11 @@
     fn unexplained(&self) -> impl Iterator<Item = &Crash> {
         let crashes = self.crashes.values();
         crashes.filter(|crash| {
-            let mut suspects = crash.suspects.iter();
+            let suspects = match crash.suspects.is_empty() {
+                true => &crash.waiting,
+                false => &crash.suspects,
+            };
+            let mut suspects = suspects.iter();
             !suspects.any(|part| self.quarantined.contains_key(part))
         })
     }
@@ -562,6 +656,12 @@
     }
 }
 
+/// Adds parts to the suspects of a crash, up to the limit.
+fn add_bounded(suspects: &mut BTreeSet<PromptPart>, parts: &[PromptPart], limit: usize) {
+    let room = limit.saturating_sub(suspects.len());
+    suspects.extend(parts.iter().take(room));
+}
+
 /// Returns the number of incidents in sorted times of crashes.
 fn count_incidents(times: &[Instant]) -> usize {
     let gaps = times
--- a/crates/core/src/dispatch/prompt_part.rs
+++ b/crates/core/src/dispatch/prompt_part.rs
@@ -21,8 +21,17 @@
 
     /// Creates the part that stands for a whole request, by what stays the same when its caller sends
     /// it again.
-    pub fn of_request(method: &str, host: &str, path: &str, body: &[u8]) -> Self {
+    pub fn of_request(
+        method: &str,
+        host: &str,
+        path: &str,
+        prompt: impl IntoIterator<Item = Self>,
+        body: &[u8],
+    ) -> Self {
         let mut hasher = Xxh3::new();
+        for part in prompt {
+            hasher.update(&part.0.to_le_bytes());
+        }
         for field in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
             hasher.update(&field.len().to_le_bytes());
             hasher.update(field);
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -79,6 +79,8 @@
     3004 GroupBounded Info "bound on the requests of a group changed";
     3005 PartQuarantined Warn "requests with a prompt part that crashes targets are refused";
     3006 PartReleased Info "prompt part that was refused is accepted again";
+    3007 RequestQuarantined Warn "request that crashes targets is refused";
+    3008 RequestReleased Info "request that was refused is accepted again";
     4001 RevisionApplied Info "configuration revision applied";
     4002 RevisionIgnored Warn "older configuration revision ignored";
     4003 ChangeAccepted Info "configuration change accepted";
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -48,6 +48,8 @@
     pub crashes: Counter,
     /// Prompt parts in quarantine because they crash targets.
     pub quarantined_parts: Gauge,
+    /// Requests in quarantine because they crash targets.
+    pub quarantined_requests: Gauge,
     /// Changes of expert maps that this gateway has completed as the placer.
     pub map_changes: Counter,
     /// Failed calls to the platform's store.
@@ -78,6 +80,7 @@
             channels: Counter::default(),
             crashes: Counter::default(),
             quarantined_parts: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             map_changes: Counter::default(),
             store_failures: Counter::default(),
             waiting: Gauge::default(),
@@ -139,6 +142,12 @@
                 "Prompt parts in quarantine",
                 parts,
             );
+            let requests = metrics.quarantined_requests.clone();
+            registry.register(
+                "gateway_quarantined_requests",
+                "Requests in quarantine",
+                requests,
+            );
             let changes = metrics.map_changes.clone();
             registry.register("gateway_map_changes", "Changes of expert maps", changes);
             registry.register(
--- a/crates/daemon/src/gateway/part_news.rs
+++ b/crates/daemon/src/gateway/part_news.rs
@@ -1,4 +1,4 @@
-//! Crashes and quarantined prompt parts in the load reports of gateways.
+//! Crashes, and quarantined prompt parts and requests, in the load reports of gateways.
 
 use {
     super::{
@@ -6,9 +6,12 @@
         state::GatewayState,
     },
     sassafrasslip_core::dispatch::{
-        CrashId, CrashReport, PartProof, PartQuarantine, PromptPart, QuarantinedPart,
+        CrashId, CrashReport, PartChange, PartProof, PartQuarantine, PromptPart, QuarantinedPart,
+        RequestChange, RequestQuarantine,
+    },
+    sassafrasslip_proto::peer::{
+        CrashRecord, LoadReport, PartProofRecord, QuarantineRecord, RequestCrashRecord,
     },
-    sassafrasslip_proto::peer::{CrashRecord, LoadReport, PartProofRecord, QuarantineRecord},
     tokio::time::Instant,
 };
 
@@ -16,34 +19,112 @@
 const PEER_SOURCE: &str = "peer";
 
 /// Returns a report that has only what this gateway knows of crashes.
-pub fn encode(quarantine: &PartQuarantine, now: Instant) -> LoadReport {
-    let crashes = quarantine.crash_news(now).map(|report| CrashRecord {
+pub fn encode(quarantine: &RequestQuarantine, now: Instant) -> LoadReport {
+    let RequestQuarantine { parts, wholes } = quarantine;
+    let crashes = parts.crash_news(now).map(|report| CrashRecord {
+        crash: report.crash.hash(),
+        suspects: hashes(&report.suspects),
+        age_ms: age_ms(report.at, now),
+    });
+    let request_crashes = wholes.crash_news(now).map(|report| RequestCrashRecord {
         crash: report.crash.hash(),
-        suspects: report.suspects.iter().map(|part| part.hash()).collect(),
+        begun: hashes(&report.suspects),
+        waiting: hashes(&report.waiting),
         age_ms: age_ms(report.at, now),
     });
+    LoadReport {
+        crashes: crashes.collect(),
+        proofs: proof_records(parts, now),
+        quarantined: quarantine_records(parts, now),
+        request_crashes: request_crashes.collect(),
+        request_proofs: proof_records(wholes, now),
+        quarantined_requests: quarantine_records(wholes, now),
+        ..LoadReport::default()
+    }
+}
+
+fn hashes(parts: &[PromptPart]) -> Vec<u64> {
+    parts.iter().map(|part| part.hash()).collect()
+}
+
+fn proof_records(quarantine: &PartQuarantine, now: Instant) -> Vec<PartProofRecord> {
     let proofs = quarantine.proof_news().map(|proof| PartProofRecord {
         part: proof.part.hash(),
         age_ms: age_ms(proof.at, now),
     });
+    proofs.collect()
+}
+
+fn quarantine_records(quarantine: &PartQuarantine, now: Instant) -> Vec<QuarantineRecord> {
     let quarantined = quarantine.quarantine_news().map(|part| QuarantineRecord {
         part: part.part.hash(),
         age_ms: age_ms(part.crashed_at, now),
         incidents: part.incidents,
     });
-    LoadReport {
-        crashes: crashes.collect(),
-        proofs: proofs.collect(),
-        quarantined: quarantined.collect(),
-        ..LoadReport::default()
-    }
+    quarantined.collect()
 }
 
-/// Applies what a peer knows of crashes. A peer of an earlier version reports nothing of it.
+/// Applies what a peer knows of crashes. A peer of an earlier version reports less or nothing of it.
 pub fn apply(state: &GatewayState, report: &LoadReport, now: Instant) {
     let mut quarantine = state.quarantine.borrow_mut();
+    let known = quarantine.suspects();
+    let RequestQuarantine { parts, wholes } = &mut *quarantine;
+    let part_crashes = report.crashes.iter().filter_map(|record| {
+        Some(CrashReport {
+            crash: CrashId::from_hash(record.crash),
+            at: time_of(record.age_ms, now)?,
+            suspects: from_hashes(&record.suspects),
+            waiting: Vec::new(),
+        })
+    });
+    let changed = apply_to(
+        parts,
+        &report.quarantined,
+        &report.proofs,
+        part_crashes,
+        now,
+    );
+    let mut changes: Vec<_> = changed.into_iter().map(RequestChange::Part).collect();
+    let request_crashes = report.request_crashes.iter().filter_map(|record| {
+        Some(CrashReport {
+            crash: CrashId::from_hash(record.crash),
+            at: time_of(record.age_ms, now)?,
+            suspects: from_hashes(&record.begun),
+            waiting: from_hashes(&record.waiting),
+        })
+    });
+    let changed = apply_to(
+        wholes,
+        &report.quarantined_requests,
+        &report.request_proofs,
+        request_crashes,
+        now,
+    );
+    changes.extend(changed.into_iter().map(RequestChange::Whole));
+    let has_new_suspects = quarantine.suspects() > known;
+    drop(quarantine);
+    if has_new_suspects {
+        // The answer that shows that a suspect is sound may be known only here.
+        state.report_due.notify_one();
+    }
+    if has_new_suspects || !changes.is_empty() {
+        state.note_request_changes(&changes, PEER_SOURCE);
+    }
+}
+
+fn from_hashes(hashes: &[u64]) -> Vec<PromptPart> {
+    hashes.iter().copied().map(PromptPart::from_hash).collect()
+}
+
+fn apply_to(
+    quarantine: &mut PartQuarantine,
+    quarantined: &[QuarantineRecord],
+    proofs: &[PartProofRecord],
+    crashes: impl Iterator<Item = CrashReport>,
+    now: Instant,
+) -> Vec<PartChange> {
     let mut changes = Vec::new();
-    for record in &report.quarantined {
+    for record in quarantined {
         if let Some(crashed_at) = time_of(record.age_ms, now) {
             let news = QuarantinedPart {
                 part: PromptPart::from_hash(record.part),
@@ -53,31 +134,14 @@
             changes.extend(quarantine.note_quarantined(news, now));
         }
     }
-    for record in &report.proofs {
+    for record in proofs {
         if let Some(at) = time_of(record.age_ms, now) {
             let part = PromptPart::from_hash(record.part);
             changes.extend(quarantine.note_proof(PartProof { part, at }, now));
         }
     }
-    let known = quarantine.suspects();
-    for record in &report.crashes {
-        if let Some(at) = time_of(record.age_ms, now) {
-            let suspects = record.suspects.iter().copied();
-            let report = CrashReport {
-                crash: CrashId::from_hash(record.crash),
-                at,
-                suspects: suspects.map(PromptPart::from_hash).collect(),
-            };
-            changes.extend(quarantine.note_crash(&report, now));
-        }
-    }
-    let has_new_suspects = quarantine.suspects() > known;
-    drop(quarantine);
-    if has_new_suspects {
-        // The answer that shows that a suspect is sound may be known only here.
-        state.report_due.notify_one();
-    }
-    if has_new_suspects || !changes.is_empty() {
-        state.note_part_changes(&changes, PEER_SOURCE);
+    for report in crashes {
+        changes.extend(quarantine.note_crash(&report, now));
     }
+    changes
 }
--- a/crates/daemon/src/gateway/part_watch.rs
+++ b/crates/daemon/src/gateway/part_watch.rs
@@ -1,17 +1,19 @@
-//! Watches for targets that crash as they begin to answer, and refuses requests with the prompt
-//! parts that cause it.
+//! Watches for targets that crash as they begin to answer, and refuses the requests, or those with
+//! the prompt parts, that cause it.
 
 use {
     super::{channels::TargetChannel, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
-            CrashId, PartChange, PartRestriction, PromptPart, TargetEntry, TargetKey,
-            part_quarantine, prompt_part::list_parts,
+            CrashEvidence, CrashId, PartChange, RequestChange, RequestRestriction, RequestTraits,
+            TargetEntry, TargetKey, prompt_part::list_parts, request_quarantine,
+        },
+        events::LogEvent::{
+            PartQuarantined, PartReleased, RequestQuarantined, RequestReleased, TargetCrashed,
         },
-        events::LogEvent::{PartQuarantined, PartReleased, TargetCrashed},
         log_event,
     },
-    std::{future, io, time::Duration},
+    std::{io, time::Duration},
     tokio::time::{Instant, timeout},
 };
 
@@ -28,11 +30,17 @@
 
 impl GatewayState {
     /// Checks whether a target that has closed the connection of a request before it began to
-    /// answer has crashed; if so, the shared parts of the request's prompt become suspects.
+    /// answer has crashed; if so, the request and the shared parts of its prompt become suspects.
     ///
     /// Only a refused connection shows a crash: connections are also reset by running targets, and
     /// targets that are out of reach do not answer at all.
-    pub async fn check_crash(&self, key: TargetKey, request_id: &str, parts: &[PromptPart]) {
+    pub async fn check_crash(
+        &self,
+        key: TargetKey,
+        request_id: &str,
+        traits: &RequestTraits,
+        evidence: CrashEvidence,
+    ) {
         let Some(entry) = self.crash_suspect(key) else {
             return;
         };
@@ -43,7 +51,7 @@
                 self.keep_channel(key, channel, None);
             }
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                self.record_crash(&entry, request_id, parts);
+                self.record_crash(&entry, request_id, traits, evidence);
             }
             Ok(Err(_)) | Err(_) => {}
         }
@@ -60,47 +68,65 @@
         target.map(|target| target.entry.clone())
     }
 
-    fn record_crash(&self, entry: &TargetEntry, request_id: &str, parts: &[PromptPart]) {
+    fn record_crash(
+        &self,
+        entry: &TargetEntry,
+        request_id: &str,
+        traits: &RequestTraits,
+        evidence: CrashEvidence,
+    ) {
         self.metrics.crashes.inc();
         log_event!(
             TargetCrashed,
             target = entry.id,
             request_id = request_id,
-            parts = list_parts(parts)
+            parts = list_parts(&traits.shared_parts),
+            request = traits.whole,
+            head = evidence == CrashEvidence::Begun
         );
         let crash = CrashId::of_target(entry);
         let mut quarantine = self.quarantine.borrow_mut();
-        let changes = quarantine.record_crash(crash, parts, Instant::now());
+        let changes = quarantine.record_crash(crash, traits, evidence, Instant::now());
         drop(quarantine);
         self.report_due.notify_one();
-        self.note_part_changes(&changes, OWN_SOURCE);
+        self.note_request_changes(&changes, OWN_SOURCE);
     }
 
-    /// Records that a target has begun to answer a request whose prompt has the given shared parts.
-    pub fn record_answer(&self, parts: &[PromptPart], now: Instant) {
+    /// Records that a target has begun to answer a request.
+    pub fn record_answer(&self, traits: &RequestTraits, now: Instant) {
         let mut quarantine = self.quarantine.borrow_mut();
-        let changes = quarantine.record_answer(parts, now);
+        let changes = quarantine.record_answer(traits, now);
         drop(quarantine);
         if !changes.is_empty() {
             self.report_due.notify_one();
-            self.note_part_changes(&changes, OWN_SOURCE);
+            self.note_request_changes(&changes, OWN_SOURCE);
         }
     }
 
     /// Logs changes of the quarantine and has waiting requests look at their restrictions.
-    pub fn note_part_changes(&self, changes: &[PartChange], source: &'static str) {
+    pub fn note_request_changes(&self, changes: &[RequestChange], source: &'static str) {
         for change in changes {
             match change {
-                PartChange::Quarantined(news) => log_event!(
+                RequestChange::Part(PartChange::Quarantined(news)) => log_event!(
                     PartQuarantined,
                     part = news.part,
                     incidents = news.incidents,
                     hold_s = news.hold().as_secs(),
                     source = source
                 ),
-                PartChange::Released(part) => {
+                RequestChange::Part(PartChange::Released(part)) => {
                     log_event!(PartReleased, part = part, source = source);
                 }
+                RequestChange::Whole(PartChange::Quarantined(news)) => log_event!(
+                    RequestQuarantined,
+                    request = news.part,
+                    incidents = news.incidents,
+                    hold_s = news.hold().as_secs(),
+                    source = source
+                ),
+                RequestChange::Whole(PartChange::Released(whole)) => {
+                    log_event!(RequestReleased, request = whole, source = source);
+                }
             }
         }
         self.count_quarantined();
@@ -114,41 +140,48 @@
     }
 
     fn count_quarantined(&self) {
-        let quarantined = self.quarantine.borrow().quarantined();
-        let quarantined = i64::try_from(quarantined).unwrap_or(i64::MAX);
-        self.metrics.quarantined_parts.set(quarantined);
+        let quarantine = self.quarantine.borrow();
+        let count = |quarantined| i64::try_from(quarantined).unwrap_or(i64::MAX);
+        let parts = count(quarantine.parts.quarantined());
+        self.metrics.quarantined_parts.set(parts);
+        let requests = count(quarantine.wholes.quarantined());
+        self.metrics.quarantined_requests.set(requests);
     }
 
-    /// Returns why a request with the given shared parts has to be refused; `None` if it may be
-    /// sent.
-    pub fn part_restriction(&self, parts: &[PromptPart], now: Instant) -> Option<PartRestriction> {
+    /// Returns why a request has to be refused; `None` if it may be sent.
+    pub fn request_restriction(
+        &self,
+        traits: &RequestTraits,
+        now: Instant,
+    ) -> Option<RequestRestriction> {
         let quarantine = self.quarantine.borrow();
-        quarantine.restriction(parts, self.runs_trials(now), now)
+        quarantine.restriction(traits, self.runs_trials(now), now)
     }
 
-    /// Waits until a request with the given shared parts has to be refused.
-    pub async fn wait_for_restriction(&self, parts: &[PromptPart]) -> PartRestriction {
-        if parts.is_empty() {
-            return future::pending().await;
-        }
+    /// Waits until a request has to be refused.
+    pub async fn wait_for_restriction(&self, traits: &RequestTraits) -> RequestRestriction {
         loop {
             let changed = self.part_news.notified();
-            if let Some(restriction) = self.part_restriction(parts, Instant::now()) {
+            if let Some(restriction) = self.request_restriction(traits, Instant::now()) {
                 return restriction;
             }
             changed.await;
         }
     }
 
-    /// Starts a request with the given shared parts.
+    /// Starts a request.
     ///
     /// # Errors
     ///
     /// Fails if the request has to be refused.
-    pub fn start_parts(&self, parts: &[PromptPart], now: Instant) -> part_quarantine::Result<()> {
+    pub fn start_request(
+        &self,
+        traits: &RequestTraits,
+        now: Instant,
+    ) -> request_quarantine::Result<()> {
         let runs_trials = self.runs_trials(now);
         let mut quarantine = self.quarantine.borrow_mut();
-        quarantine.start(parts, runs_trials, now)
+        quarantine.start(traits, runs_trials, now)
     }
 
     /// Returns whether this gateway sends the trial requests with parts that have crashed targets.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -14,9 +14,10 @@
     hyper::{Request, Response, body::Incoming},
     sassafrasslip_core::{
         dispatch::{
-            AttemptFailure, FailureContext, NextStep, PartRestriction, PromptPart, RepeatRule,
-            RouteMatch, RouteMiss, RouteTable, StoppingRequest, TargetId, TargetKey,
-            WaitingRequest, decide_next_step, failure::MAX_ARRIVALS, prompt_part::list_parts,
+            AttemptFailure, CrashEvidence, FailureContext, NextStep, PromptPart, RepeatRule,
+            RequestRestriction, RequestTraits, RouteMatch, RouteMiss, RouteTable, StoppingRequest,
+            TargetId, TargetKey, WaitingRequest, decide_next_step, failure::MAX_ARRIVALS,
+            prompt_part::list_parts,
         },
         events::LogEvent::{
             AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
@@ -122,6 +123,18 @@
     Ok((table, matched, service, body.to_bytes()))
 }
 
+/// Returns what identifies a request when its caller sends it again under another id.
+fn request_traits(parts: &request::Parts, caller: &CallerHead, body: &[u8]) -> RequestTraits {
+    let method = parts.method.as_str();
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    let prompt = caller.shared_parts.iter().chain(&caller.own_part).copied();
+    RequestTraits {
+        shared_parts: caller.shared_parts.clone(),
+        whole: PromptPart::of_request(method, &caller.host, path, prompt, body),
+    }
+}
+
 fn log_refusal(caller: &CallerHead, answer: &LocalReply, waited_ms: u128, service: &str) {
     log_event!(
         GatewayRefused,
@@ -149,10 +162,12 @@
     parts: request::Parts,
     caller: CallerHead,
     body: Bytes,
-    /// Stands for the request, also when its caller sends it again under another id.
-    whole: PromptPart,
+    /// What identifies the request if it crashes targets.
+    traits: RequestTraits,
     /// Whether the latest attempt has brought the head of an answer.
     has_head: bool,
+    /// When the latest attempt started, or when the request arrived if there was none.
+    latest_sent_at: Instant,
     revision: u64,
     tried: Vec<TargetKey>,
     /// Number of attempts after which the request may have run.
@@ -213,8 +228,7 @@
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         state.record_first_try(&service, arrived_at);
         let deadline = arrived_at + caller_timeout.saturating_sub(ANSWER_MARGIN);
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        let whole = PromptPart::of_request(parts.method.as_str(), &caller.host, path, &body);
+        let traits = request_traits(&parts, &caller, &body);
         Self {
             state,
             service,
@@ -225,8 +239,9 @@
             parts,
             caller,
             body,
-            whole,
+            traits,
             has_head: false,
+            latest_sent_at: arrived_at,
             revision: table.revision,
             tried: Vec::new(),
             runs: 0,
@@ -350,7 +365,7 @@
         };
         let acquired = tokio::select! {
             biased;
-            restriction = self.state.wait_for_restriction(&self.caller.shared_parts) => {
+            restriction = self.state.wait_for_restriction(&self.traits) => {
                 return Err(ControlFlow::Break(self.restricted(&restriction)));
             }
             acquired = admission::acquire(&self.state, request) => acquired,
@@ -375,7 +390,7 @@
         if let Some(refusal) = self.stop_refusal(now) {
             return Err(ControlFlow::Break(refusal));
         }
-        let started = self.state.start_parts(&self.caller.shared_parts, now);
+        let started = self.state.start_request(&self.traits, now);
         started.map_err(|restriction| ControlFlow::Break(self.restricted(&restriction)))?;
         if self.first_sent_at.is_none() {
             self.first_sent_at = Some(now);
@@ -388,6 +403,7 @@
         self.has_begun = false;
         self.is_sent = true;
         self.has_head = false;
+        self.latest_sent_at = now;
         let key = lease.key;
         self.tried.push(key);
         let input = AttemptInput {
@@ -444,7 +460,7 @@
     /// Records that a target has sent events of the stream at `now`.
     pub(super) fn record_progress(&mut self, key: TargetKey, now: Instant) {
         if !mem::replace(&mut self.has_begun, true) {
-            self.state.record_answer(&self.caller.shared_parts, now);
+            self.state.record_answer(&self.traits, now);
         }
         self.state.record_progress(key, now);
     }
@@ -523,8 +539,7 @@
             self.note_failure(key, error, now);
         }
         let is_late = now >= self.deadline;
-        let parts = &self.caller.shared_parts;
-        let restriction = self.state.part_restriction(parts, now);
+        let restriction = self.state.request_restriction(&self.traits, now);
         let has_reserved = mem::take(&mut self.has_reserved_retry);
         let route = &self.matched.route;
         let context = FailureContext {
@@ -547,9 +562,9 @@
             fault = error.fault,
             head = self.has_head,
             begun = self.has_begun,
-            parts = list_parts(&self.caller.shared_parts),
+            parts = list_parts(&self.traits.shared_parts),
             own_part = list_parts(self.caller.own_part.as_slice()),
-            request = self.whole,
+            request = self.traits.whole,
             team = self
                 .matched
                 .team
@@ -598,21 +613,28 @@
         roster.get(key).map(|target| target.entry.id.clone())
     }
 
-    /// Checks whether the target of the latest attempt has crashed, which makes the shared parts of
-    /// the prompt suspects.
+    /// Checks whether the target of the latest attempt has crashed, which makes the request and the
+    /// shared parts of its prompt suspects.
     async fn check_crash(&self) {
-        let parts = &self.caller.shared_parts;
-        if let Some(key) = self.tried.last().filter(|_| !parts.is_empty()) {
-            self.state.check_crash(*key, self.request_id(), parts).await;
+        let evidence = match self.has_head {
+            true => CrashEvidence::Begun,
+            false => CrashEvidence::WaitingSince(self.latest_sent_at),
+        };
+        if let Some(key) = self.tried.last() {
+            let (id, traits) = (self.request_id(), &self.traits);
+            self.state.check_crash(*key, id, traits, evidence).await;
         }
     }
 
-    fn restricted(&self, restriction: &PartRestriction) -> LocalReply {
-        let reason = "a part of the prompt crashes targets";
+    fn restricted(&self, restriction: &RequestRestriction) -> LocalReply {
+        let reason = match restriction {
+            RequestRestriction::Part(_) => "a part of the prompt crashes targets",
+            RequestRestriction::Whole(_) => "the request crashes targets",
+        };
         if self.runs > 0 {
             return LocalReply::unknown(StatusCode::BAD_GATEWAY, reason);
         }
-        LocalReply::not_run(reason, restriction.retry_after)
+        LocalReply::not_run(reason, restriction.restriction().retry_after)
     }
 
     fn refused(&self, refusal: &AdmissionRefusal) -> LocalReply {
@@ -651,8 +673,7 @@
         } else {
             self.state.record_success(key);
             if status.is_success() {
-                let parts = &self.caller.shared_parts;
-                self.state.record_answer(parts, Instant::now());
+                self.state.record_answer(&self.traits, Instant::now());
             }
             let elapsed = self.sent_at().elapsed();
             self.state.record_first_answer(&self.service, elapsed);
@@ -685,9 +706,9 @@
             route = self.matched.route.name,
             service = self.service,
             attempts = self.attempts,
-            parts = list_parts(&self.caller.shared_parts),
+            parts = list_parts(&self.traits.shared_parts),
             own_part = list_parts(self.caller.own_part.as_slice()),
-            request = self.whole,
+            request = self.traits.whole,
             waited_ms = waited.as_millis(),
             first_ms = first.as_millis(),
             longest_pause_ms = self.longest_pause.as_millis(),
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -16,7 +16,7 @@
     sassafrasslip_core::{
         dispatch::{
             DatedSlowdown, DatedView, DurationEstimate, EraChange, FleetShare, GroupLoad, KnownEra,
-            LimitNews, PartQuarantine, PeerTable, RequestRate, RetryAllowance, RosterChange,
+            LimitNews, PeerTable, RequestQuarantine, RequestRate, RetryAllowance, RosterChange,
             RouteRule, RouteTable, Slowdown, StopPlan, StoreEra, StoreStamp, TargetDeparture,
             TargetKey, TargetList, TargetRoster,
         },
@@ -108,9 +108,9 @@
     /// Notified when a load report must be sent immediately, because of news that matter to all
     /// gateways, such as a changed state of a group.
     pub report_due: Notify,
-    /// Crashes of targets, and the prompt parts that cause them.
-    pub quarantine: RefCell<PartQuarantine>,
-    /// Notified when the restrictions of prompt parts may have changed.
+    /// Crashes of targets, and the prompt parts and requests that cause them.
+    pub quarantine: RefCell<RequestQuarantine>,
+    /// Notified when the restrictions of requests may have changed.
     pub part_news: Notify,
     /// Times at which targets were last found running after they had closed a connection.
     pub checked_at: RefCell<SecondaryMap<TargetKey, Instant>>,
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -5,7 +5,7 @@
     prost::Message,
     sassafrasslip_proto::peer::{
         CrashRecord, DepartureRecord, LimitRecord, LoadReport, PartProofRecord, QuarantineRecord,
-        SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
+        RequestCrashRecord, SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
     },
 };
 
@@ -217,3 +217,27 @@
     let read = EarlierReport::decode(&*news.encode_to_vec()).unwrap();
     assert_eq!(read, earlier_report());
 }
+
+#[test]
+fn earlier_build_reads_a_report_with_crashes_of_requests() {
+    let news = LoadReport {
+        request_crashes: vec![RequestCrashRecord {
+            crash: 1,
+            begun: vec![2],
+            waiting: vec![3, 4],
+            age_ms: 40,
+        }],
+        request_proofs: vec![PartProofRecord {
+            part: 2,
+            age_ms: 50,
+        }],
+        quarantined_requests: vec![QuarantineRecord {
+            part: 3,
+            age_ms: 60,
+            incidents: 2,
+        }],
+        ..report()
+    };
+    let read = EarlierReport::decode(&*news.encode_to_vec()).unwrap();
+    assert_eq!(read, earlier_report());
+}
