Pass on refused suspects of crashes that other gateways have seen

Cause: a gateway reported the suspects of its own requests only. When it restarted, those that started later learned nothing of a crash that had not led to a quarantine.

The test suspect_outlives_the_gateway_that_saw_the_crash failed before (the restarted gateway sent the request) and passes now.

--- a/crates/core/src/dispatch/part_quarantine.rs
+++ b/crates/core/src/dispatch/part_quarantine.rs
@@ -61,6 +61,10 @@
 /// within a second.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Time for which the suspects of other gateways are reported too. It ends long before
+/// [`CRASH_RETENTION`], so that gateways do not remind each other of what they have forgotten.
+const RELAY_TIME: Duration = SUSPECT_HOLD.saturating_add(SUSPECT_TRIALS);
+
 /// Highest number of crashes that are kept.
 const MAX_CRASHES: usize = 64;
 
@@ -463,22 +467,33 @@
         self.quarantined.len()
     }
 
-    /// Returns the crashes of this gateway's own requests, without the suspects that are known to
-    /// be sound, as they are sent to the peers.
+    /// Returns crashes without the suspects that are known to be sound, as they are sent to the
+    /// peers: those of this gateway's own requests, and the suspects of all others that are refused,
+    /// which a gateway that starts later has to know.
     pub fn crash_news(&self, now: Instant) -> impl Iterator<Item = CrashReport> {
         let recent = self
             .crashes
             .iter()
             .filter(move |(_, crash)| now < crash.at + CRASH_RETENTION);
-        let reports = recent.map(|(id, crash)| CrashReport {
+        let reports = recent.map(move |(id, crash)| CrashReport {
             crash: *id,
             at: crash.at,
-            suspects: self.open_suspects(crash, &crash.own_suspects).collect(),
+            suspects: self.reported_suspects(crash, now),
             waiting: self.open_suspects(crash, &crash.own_waiting).collect(),
         });
         reports.filter(|report| !report.suspects.is_empty() || !report.waiting.is_empty())
     }
 
+    fn reported_suspects(&self, crash: &Crash, now: Instant) -> Vec<PromptPart> {
+        let is_relayed = now < crash.at + RELAY_TIME;
+        let suspects = self.open_suspects(crash, &crash.suspects);
+        let reported = suspects.filter(|part| {
+            let is_own = crash.own_suspects.contains(part);
+            is_own || (is_relayed && !self.was_sound(*part, crash.at))
+        });
+        reported.collect()
+    }
+
     /// Returns the latest answers to this gateway's requests with parts that are suspects of a
     /// crash, as they are sent to the peers.
     pub fn proof_news(&self) -> impl Iterator<Item = PartProof> {
--- a/crates/core/tests/request_quarantine.rs
+++ b/crates/core/tests/request_quarantine.rs
@@ -234,6 +234,31 @@
     assert!(fleet.send(1, &request("waiting"), start + SECOND * 12));
 }
 
+/// Gateways restart one after the other, the one that has seen the crash first. The others pass on
+/// what it has reported, and forget it in time.
+#[test]
+fn suspect_outlives_the_gateway_that_saw_the_crash() {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(3);
+    let deadly = plain("/deadly");
+    fleet.crash(&[(0, deadly.clone(), Begun)], start);
+    for restarted in 0..3 {
+        fleet.gateways[restarted] = RequestQuarantine::default();
+        let now = start + SECOND * (5 + restarted as u32);
+        fleet.tell(now);
+        assert!(!fleet.send(restarted, &deadly, now), "gateway {restarted}");
+    }
+    for step in 0..800 {
+        fleet.tell(start + Duration::from_millis(100) * step);
+    }
+    let later = start + SECOND * 80;
+    for gateway in 0..3 {
+        fleet.gateways[gateway].drop_outdated(later);
+        assert_eq!(fleet.gateways[gateway].suspects(), 0);
+        assert!(fleet.send(gateway, &deadly, later));
+    }
+}
+
 /// After its time, one gateway tries the request again. An answer ends its restriction everywhere,
 /// and another crash puts it in quarantine.
 fn check_trial(crashes: bool) {
