Keep the attempt that takes over a stream when the silent target breaks off

What callers could see: a stream whose target was silent and then crashed was moved twice, or cut where no third target was left.

Cause: the race between the silent target and the next one ended at the first result of the silent target, also when that was a broken connection. The attempt at the next target was given up just before it answered.

Change: only bytes or the end of the body end the race. A broken connection is reported by the next read, after the other target has answered or had its time.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -25,7 +25,7 @@
         log_event,
     },
     sassafrasslip_platform::{AnswerHead, AttemptHead, decode_answer, encode_attempt},
-    std::{cell::Cell, result, time::Duration},
+    std::{cell::Cell, future, result, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -158,11 +158,15 @@
         }
     }
 
-    /// Waits until [`Self::next`] returns without waiting.
+    /// Waits until [`Self::next`] returns bytes or the end of the body without waiting. Waits forever
+    /// if the connection breaks, which only [`Self::next`] reports.
     pub async fn wait_readable(&mut self) {
         if self.peeked.is_none() {
             self.peeked = Some(self.read().await);
         }
+        if matches!(self.peeked, Some(Err(_))) {
+            future::pending::<()>().await;
+        }
     }
 
     async fn read(&mut self) -> ReadResult {
