Count attempts that are given up in the move of a stream

What callers could not see but targets could: a stream whose target was silent twice and went on each time ran at three targets where its route allows two (rule BUDGET).

Cause: an attempt at the next target that was given up, because the silent target went on or the time for the move was over, did not count as a run. The class of fault is a budget that is charged on failure only.

Change: a given up attempt counts as a run, since its target may run the request.

Test: stream_that_pauses_twice_runs_at_two_targets_at_most failed before with three attempts, and passes now.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -189,7 +189,11 @@
                 handler.record_left_target();
                 self.restart_at(handler, open, &last_id, "target is slow");
             }
-            Ok(Ok(_) | Err(_)) | Err(_) => handler.return_to(key),
+            Ok(Err(_)) => handler.return_to(key),
+            Ok(Ok(_)) | Err(_) => {
+                handler.record_abandoned_attempt();
+                handler.return_to(key);
+            }
         }
     }
 
@@ -217,7 +221,11 @@
                 handler.record_left_target();
                 self.restart_at(handler, open, &last_id, SILENCE_FAULT);
             }
-            Some(_) | None => handler.return_to(key),
+            Some(Ok(Err(_))) => handler.return_to(key),
+            Some(Ok(Ok(_)) | Err(_)) | None => {
+                handler.record_abandoned_attempt();
+                handler.return_to(key);
+            }
         }
     }
 
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -452,6 +452,11 @@
         self.runs += 1;
     }
 
+    /// Records that an attempt to move a stream was given up, so that its target may run the request.
+    pub(super) fn record_abandoned_attempt(&mut self) {
+        self.runs += 1;
+    }
+
     /// Returns whether the latest attempt has brought an event of a stream.
     pub(super) fn has_begun(&self) -> bool {
         self.has_begun
