Blame silent targets and keep reserved retries when no target takes a stream

A silent target was blamed only once another one had taken its stream over, so that a target that is cut off was not ejected on a full service. A retry that was reserved for a move that found no target was spent again at each check, 250 ms or more apart. The comment on the silence limit says what happens now.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -26,7 +26,7 @@
     tokio::time::{Instant, timeout, timeout_at},
 };
 
-/// Silence after which the stream of a target is given up if other targets of its service make
+/// Silence after which a stream moves to another target if other targets of its service make
 /// progress. Callers leave after two seconds without an event, and another target needs a few
 /// hundred milliseconds to resume the stream.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
@@ -205,6 +205,8 @@
             return;
         };
         let key = open.lease.key;
+        // A target that is cut off has to be ejected even if no other one can take its streams.
+        handler.state.record_failure(key, Instant::now());
         let Some(lease) = handler.acquire_other_target() else {
             return;
         };
@@ -217,7 +219,6 @@
         };
         match attempt {
             Some(Ok(Ok(open))) if is_stream(&open.parts, &open) => {
-                handler.state.record_failure(key, Instant::now());
                 handler.record_left_target();
                 self.restart_at(handler, open, &last_id, SILENCE_FAULT);
             }
@@ -340,8 +341,8 @@
 }
 
 /// Reads the next bytes, or `None` at the end of the stream. Returns no result after a silence, if the
-/// stream can move and other targets of the service make progress. The ranks of a group run each pass together and therefore stall
-/// together, so that a move within a stalled group would not help.
+/// stream can move and other targets of the service make progress. The ranks of a group run each pass
+/// together and therefore stall together, so that a move within a stalled group would not help.
 async fn read_with_silence_limit(
     handler: &mut RequestHandler,
     open: &mut OpenAnswer,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -524,7 +524,9 @@
         let may_move = route.repeat == RepeatRule::ResumableStream
             && self.runs + 1 < route.attempts
             && self.attempts < MAX_ARRIVALS;
-        self.has_reserved_retry = may_move && self.state.try_spend_retry(&self.service, now);
+        // A retry that was reserved for a move that found no target is still there.
+        self.has_reserved_retry =
+            may_move && (self.has_reserved_retry || self.state.try_spend_retry(&self.service, now));
         self.has_reserved_retry
     }
 
