Keep short deadlines of claim tests from passing before the call is admitted

delayed_attempt_never_runs_after_later_attempts failed once beside other load: the start record of the second attempt was missing. With a deadline of 0 ms it fails in the same way, with 1 ms it passes: the 50 ms had passed before the agent admitted the call, so that the case that the test guards did not come about.

The deadline still passes during a write that lasts twice as long; both are ten times as long now. What is asserted is unchanged.

--- a/crates/daemon/tests/agent_claims.rs
+++ b/crates/daemon/tests/agent_claims.rs
@@ -28,6 +28,13 @@
 
 const CLAIM_KEY: &str = "claim/prints/shop/k";
 
+/// Time that a caller waits whose deadline passes during a write of [`LONG_WRITE`], but not before
+/// the agent has admitted the call.
+const SHORT_DEADLINE_MS: u64 = 500;
+
+/// Time of a write that lasts beyond [`SHORT_DEADLINE_MS`].
+const LONG_WRITE: Duration = Duration::from_millis(1_000);
+
 async fn start() -> TestAgent {
     TestAgent::start(TargetKind::Plain).await
 }
@@ -215,7 +222,7 @@
     let delayed = start().await;
     let agent = TestAgent::start_with(TargetKind::Plain, delayed.platform.clone()).await;
     let platform = &delayed.platform;
-    platform.fail_next([TableFault::Hold(Duration::from_millis(800))]);
+    platform.fail_next([TableFault::Hold(LONG_WRITE * 4)]);
     let mut delayed_entry = delayed.connect().await;
     delayed_entry.dispatch(keyed_dispatch(1, "k")).await;
     let is_held = || platform.state.lock().unwrap().faults.is_empty();
@@ -226,10 +233,10 @@
     let mut entry = agent.connect().await;
     for (counter, expected) in [(2, vec![1_001, 1_002]), (3, vec![1_001, 1_002, 1_003])] {
         let insert = TableFault::Delay(Duration::ZERO);
-        let replacement = TableFault::Delay(Duration::from_millis(100));
+        let replacement = TableFault::Delay(LONG_WRITE);
         platform.fail_next([insert, replacement]);
         let short_deadline = Dispatch {
-            remaining_ms: 50,
+            remaining_ms: SHORT_DEADLINE_MS,
             ..keyed_dispatch(counter, "k")
         };
         let reply = entry.ask(short_deadline).await;
@@ -247,12 +254,11 @@
 #[tokio::test]
 async fn failed_withdrawal_is_repeated() {
     let agent = start().await;
-    agent.platform.fail_next([
-        TableFault::Delay(Duration::from_millis(100)),
-        TableFault::Down,
-    ]);
+    agent
+        .platform
+        .fail_next([TableFault::Delay(LONG_WRITE), TableFault::Down]);
     let short_deadline = Dispatch {
-        remaining_ms: 50,
+        remaining_ms: SHORT_DEADLINE_MS,
         ..keyed_dispatch(1, "k")
     };
     let mut entry = agent.connect().await;
@@ -340,10 +346,10 @@
 #[tokio::test]
 async fn insert_that_ends_after_the_deadline_is_withdrawn() {
     let agent = start().await;
-    let delay = TableFault::Delay(Duration::from_millis(100));
+    let delay = TableFault::Delay(LONG_WRITE);
     agent.platform.fail_next([delay]);
     let short_deadline = Dispatch {
-        remaining_ms: 50,
+        remaining_ms: SHORT_DEADLINE_MS,
         ..keyed_dispatch(1, "k")
     };
     let reply = agent.connect().await.ask(short_deadline).await;
