--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -70,6 +70,20 @@
     pub unconfirmed: HashSet<TargetId>,
 }
 
+impl FromIterator<(TargetEntry, bool)> for TargetList {
+    /// Builds the list from entries, each with whether it may be of the copy.
+    fn from_iter<I: IntoIterator<Item = (TargetEntry, bool)>>(entries: I) -> Self {
+        let mut list = Self::default();
+        for (entry, is_unconfirmed) in entries {
+            if is_unconfirmed {
+                list.unconfirmed.insert(Arc::clone(&entry.id));
+            }
+            list.entries.push(entry);
+        }
+        list
+    }
+}
+
 /// Change of a target or a group.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RosterChange {
@@ -214,14 +228,10 @@
 
     /// Returns the latest list, as [`Self::listed`] gives it.
     pub fn latest_list(&self) -> TargetList {
-        let mut list = TargetList::default();
-        for target in self.listed_targets() {
-            if target.is_unconfirmed {
-                list.unconfirmed.insert(Arc::clone(&target.entry.id));
-            }
-            list.entries.push(target.entry.clone());
-        }
-        list
+        let targets = self.listed_targets();
+        targets
+            .map(|target| (target.entry.clone(), target.is_unconfirmed))
+            .collect()
     }
 
     /// Replaces the requests of peers in flight by `loads`, pairs of the hash of a target's name
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -522,17 +522,12 @@
 /// Returns the list of a snapshot. Entries of a list that may be from before a restore of the store
 /// are unconfirmed.
 fn target_list(records: Vec<TargetRecord>, is_covered: bool) -> TargetList {
-    let mut list = TargetList::default();
-    for record in records {
+    let records = records.into_iter();
+    let entries = records.filter_map(|record| {
         let is_unconfirmed = record.unconfirmed || !is_covered;
-        if let Some(entry) = target_entry(record) {
-            if is_unconfirmed {
-                list.unconfirmed.insert(entry.id.clone());
-            }
-            list.entries.push(entry);
-        }
-    }
-    list
+        Some((target_entry(record)?, is_unconfirmed))
+    });
+    entries.collect()
 }
 
 /// Polls peers for snapshots until the process ends: while this gateway has no configuration or no
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -9,7 +9,7 @@
     crate::options::GatewayOptions,
     error_stack::Report,
     sassafrasslip_core::{
-        dispatch::{ListHistory, StoreStamp, StoreVersion, TargetEntry, TargetList},
+        dispatch::{ListHistory, StoreStamp},
         events::LogEvent::{
             PlatformRecovered, PlatformUnavailable, TableRejected, TargetUnreadable,
         },
@@ -18,7 +18,7 @@
     sassafrasslip_platform::{
         ConfigurationDocument, ConfigurationUpdate, StoreClient, StoreError, decode_configuration,
     },
-    std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration},
+    std::{collections::HashMap, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -235,7 +235,10 @@
                 unreadable = listing.unreadable.into_iter().collect();
                 let stamp = state.note_stamp(listing.stamp);
                 if let Some(stamp) = stamp.filter(|stamp| history.record(*stamp, asked_at)) {
-                    let list = target_list(listing.targets, &history, asked_at);
+                    let entries = listing.targets.into_iter();
+                    let list = entries
+                        .map(|(entry, version)| (entry, history.is_unconfirmed(version, asked_at)))
+                        .collect();
                     state.apply_listing(list, stamp.era, asked_at, "store");
                 }
                 sleep(intervals.list_interval.saturating_sub(asked_at.elapsed())).await;
@@ -251,21 +254,6 @@
     }
 }
 
-fn target_list(
-    entries: Vec<(TargetEntry, StoreVersion)>,
-    history: &ListHistory,
-    now: Instant,
-) -> TargetList {
-    let mut list = TargetList::default();
-    for (entry, version) in entries {
-        if history.is_unconfirmed(version, now) {
-            list.unconfirmed.insert(Arc::clone(&entry.id));
-        }
-        list.entries.push(entry);
-    }
-    list
-}
-
 /// Fetches a snapshot from the zone's reader. Returns whether the list of targets is recent
 /// afterwards; `false` if this gateway is the reader or the reader does not answer.
 async fn refresh_from_reader(
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -316,8 +316,7 @@
         true
     }
 
-    /// Replaces the list of targets by one that was read at `now` in the era `era`. The first list
-    /// of an era may lack targets that joined after the copy from which the store was restored.
+    /// Replaces the list of targets by one that was read at `now` in the era `era`.
     pub fn apply_listing(
         &self,
         list: TargetList,
@@ -344,6 +343,8 @@
 
     fn replace_listing(&self, list: TargetList, era: StoreEra, now: Instant, source: &'static str) {
         let previous = self.list_era.replace(era);
+        // The first list of an era may lack targets that joined after the copy from which the store
+        // was restored.
         if previous.is_named() && era > previous {
             self.roster.borrow_mut().note_list_regained(now);
         }
