--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -9,7 +9,7 @@
     super::{
         channels::describe_exchange,
         exchange::{AttemptError, OpenAnswer},
-        reply::{CutError, ReplyBody},
+        reply::{CutError, LocalReply, ReplyBody},
         request::RequestHandler,
     },
     bytes::Bytes,
@@ -17,7 +17,7 @@
     http::{StatusCode, header::CONTENT_LENGTH, response},
     hyper::Response,
     sassafrasslip_core::{
-        dispatch::{EventSplitter, RepeatRule, event_stream::MAX_EVENT_BYTES},
+        dispatch::{EventSplitter, RepeatRule, TargetKey, event_stream::MAX_EVENT_BYTES},
         events::LogEvent::{StreamCut, StreamMoved},
         log_event,
     },
@@ -183,18 +183,8 @@
             return;
         };
         let last_id = String::from_utf8_lossy(last_id).into_owned();
-        let attempt = timeout(MOVE_TIMEOUT, handler.attempt_at(lease, Some(&last_id)));
-        match attempt.await {
-            Ok(Ok(open)) if is_stream(&open.parts, &open) => {
-                handler.record_left_target();
-                self.restart_at(handler, open, &last_id, "target is slow");
-            }
-            Ok(Err(_)) => handler.return_to(key),
-            Ok(Ok(_)) | Err(_) => {
-                handler.record_abandoned_attempt();
-                handler.return_to(key);
-            }
-        }
+        let attempt = timeout(MOVE_TIMEOUT, handler.attempt_at(lease, Some(&last_id))).await;
+        self.end_move(handler, key, attempt.ok(), &last_id, "target is slow");
     }
 
     /// Moves the stream to another target after a silence. A sound target may be silent for a while
@@ -215,15 +205,28 @@
         let attempt = tokio::select! {
             biased;
             () = open.wait_readable() => None,
-            attempt = attempt => Some(attempt),
+            attempt = attempt => attempt.ok(),
         };
+        self.end_move(handler, key, attempt, &last_id, SILENCE_FAULT);
+    }
+
+    /// Continues the stream at the other target if that has taken it over, and at the target of `key`
+    /// otherwise. `attempt` is `None` if the attempt at the other target was given up.
+    fn end_move(
+        &mut self,
+        handler: &mut RequestHandler,
+        key: TargetKey,
+        attempt: Option<Result<OpenAnswer, ControlFlow<LocalReply>>>,
+        last_id: &str,
+        fault: &str,
+    ) {
         match attempt {
-            Some(Ok(Ok(open))) if is_stream(&open.parts, &open) => {
+            Some(Ok(open)) if is_stream(&open.parts, &open) => {
                 handler.record_left_target();
-                self.restart_at(handler, open, &last_id, SILENCE_FAULT);
+                self.restart_at(handler, open, last_id, fault);
             }
-            Some(Ok(Err(_))) => handler.return_to(key),
-            Some(Ok(Ok(_)) | Err(_)) | None => {
+            Some(Err(_)) => handler.return_to(key),
+            Some(Ok(_)) | None => {
                 handler.record_abandoned_attempt();
                 handler.return_to(key);
             }
