--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,6 +5,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+if [ "${CI:-}" = true ]; then
+    # A fresh clone is built once, so that data for incremental compilation only takes disk space.
+    export CARGO_INCREMENTAL=0
+fi
+
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --locked -- -D warnings
 
