Check entries of the instance list that peers pass on

Callers behind a reader that passes on odd entries had their requests sent to targets of odd names, without X-Expect-Instance since such a name cannot stand in a header, and with odd numbers.

Cause: names, addresses and numbers were checked by the decoder of the store's rows alone. Readers of earlier builds check nothing, and their lists are used while the store is away.

Change: the ranges are those of TargetEntry in core.

--- a/crates/core/src/dispatch/target_entry.rs
+++ b/crates/core/src/dispatch/target_entry.rs
@@ -5,10 +5,19 @@
     super::target_health::TargetHealth,
     crate::ids::{GroupName, ServiceName, ZoneName},
     slotmap::new_key_type,
-    std::{net::SocketAddr, sync::Arc},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+    },
     tokio::time::Instant,
 };
 
+/// Highest number of slots of a target and of ranks of a group.
+const MAX_COUNT: u32 = 1 << 16;
+
+/// Highest epoch and start time, up to which JSON numbers are exact in every program.
+const MAX_EXACT_INTEGER: u64 = 1 << 53;
+
 new_key_type! {
     /// Identifies a target in its [`TargetRoster`]. A restarted target gets a new key.
     pub struct TargetKey;
@@ -69,6 +78,32 @@
     pub fn is_named(&self, name: &str) -> bool {
         name == &*self.id || name.parse() == Ok(self.address)
     }
+
+    /// Returns the first field whose value no target can have; `None` for a proper entry. A name
+    /// that cannot stand in a header counts as such a value, since requests have to carry it.
+    pub fn invalid_field(&self) -> Option<&'static str> {
+        let is_name = !self.id.is_empty() && self.id.bytes().all(|byte| byte.is_ascii_graphic());
+        let checks = [
+            ("name", is_name),
+            ("address", is_reachable(self.address)),
+            ("slots", self.slots <= MAX_COUNT),
+            ("start time", self.started_at_ms <= MAX_EXACT_INTEGER),
+            ("group", self.group.as_ref().is_none_or(is_rank)),
+        ];
+        let mut invalid = checks.into_iter().filter(|(_, is_valid)| !is_valid);
+        invalid.next().map(|(field, _)| field)
+    }
+}
+
+fn is_rank(member: &GroupMember) -> bool {
+    member.size <= MAX_COUNT && member.rank < member.size && member.epoch <= MAX_EXACT_INTEGER
+}
+
+/// Returns whether an address can be that of one process.
+fn is_reachable(address: SocketAddr) -> bool {
+    let ip = address.ip();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
 }
 
 /// What a target has said in its answers about new requests. It takes precedence over the instance
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -285,13 +285,14 @@
 
     /// Applies a new instance list and returns the changes. An entry with another start time,
     /// address or service under the same name is another process: the old target has left and a new
-    /// one has joined.
+    /// one has joined. An entry that names no target is left out; peers may pass such entries on.
     ///
     /// An unconfirmed entry does not undo what is known: it brings back no incarnation that has
     /// left or was replaced, and makes no draining target ready.
     pub fn apply_list(&mut self, list: TargetList, now: Instant) -> Vec<RosterChange> {
         let mut changes = Vec::new();
-        for entry in list.entries {
+        let entries = list.entries.into_iter();
+        for entry in entries.filter(|entry| entry.invalid_field().is_none()) {
             if !list.unconfirmed.contains(&entry.id) {
                 self.apply_entry(entry, now, &mut changes);
             } else if let Some(entry) = self.reconcile(entry) {
--- a/crates/core/tests/odd_entries.rs
+++ b/crates/core/tests/odd_entries.rs
@@ -95,6 +95,51 @@
     rank_of_an_unknown_service_has_a_newer_epoch: (|member| member.epoch = u64::MAX);
 }
 
+/// Guards against an entry that a peer passes on unchecked, as earlier builds do with whatever the
+/// store holds.
+fn check_odd_entry(change: fn(&mut TargetEntry)) {
+    let now = Instant::now();
+    let mut roster = TargetRoster::default();
+    let mut odd = rank("odd", 1);
+    change(&mut odd);
+    for second in 0..2 {
+        let entries = ranks().into_iter().chain([odd.clone()]).collect();
+        roster.apply(entries, now + Duration::from_secs(second));
+        assert_eq!(roster.len(), ranks().len());
+        assert_eq!(roster.groups()[&group()].epoch, 5);
+    }
+}
+
+test_cases! {
+    fn check_odd_entry(change: fn(&mut TargetEntry));
+    entry_without_a_name: (|entry| entry.id = "".into());
+    entry_whose_name_breaks_the_line: (|entry| entry.id = "odd\r\nx-tenant: t".into());
+    entry_whose_name_has_a_space: (|entry| entry.id = "od d".into());
+    entry_with_port_zero: (|entry| entry.address.set_port(0));
+    entry_with_the_address_of_no_host: (|entry| entry.address = "0.0.0.0:80".parse().unwrap());
+    entry_with_the_address_of_many_hosts: (|entry| entry.address = "224.0.0.1:80".parse().unwrap());
+    entry_with_the_slots_of_no_target: (|entry| entry.slots = u32::MAX);
+    entry_that_starts_in_the_far_future: (|entry| entry.started_at_ms = u64::MAX);
+    entry_with_the_epoch_of_no_formation: (|entry| entry.group.as_mut().unwrap().epoch = u64::MAX);
+    entry_with_a_rank_beyond_its_group: (|entry| entry.group.as_mut().unwrap().rank = RANKS);
+    entry_with_the_size_of_no_group: (|entry| entry.group.as_mut().unwrap().size = u32::MAX);
+}
+
+/// The store then holds no target under that name.
+#[test]
+fn odd_entry_takes_the_place_of_a_sound_one() {
+    let now = Instant::now();
+    let mut roster = TargetRoster::default();
+    roster.apply(ranks(), now);
+    let mut entries = ranks();
+    entries[1].slots = u32::MAX;
+    roster.apply(entries, now + Duration::from_secs(1));
+    assert!(roster.find("r1").is_none());
+    assert_eq!(roster.len(), ranks().len() - 1);
+    roster.apply(ranks(), now + Duration::from_secs(2));
+    assert_eq!(roster.len(), ranks().len());
+}
+
 /// A service may be added to the configuration after its targets are listed.
 #[test]
 fn ranks_count_once_their_service_is_configured() {
