Start background tasks again that have ended

A gateway whose task for the configuration, the list of targets or its peers had panicked went on with what it knew, for good: the process did not end, and only standard error showed it. The class of fault is a component that fails without anything that notices.

Change: background tasks of a gateway run under a supervisor. State that requests need is outside of the tasks and stays. Sockets are duplicated for each start, so that a task that has lost its own has another.

No panic of a real task is known, so that there is no test of a whole gateway; before, nothing awaited these tasks.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -51,6 +51,7 @@
     1008 SettingsReloaded Info "settings reloaded";
     1009 SettingsRejected Error "changed settings are invalid and not applied";
     1010 ConnectionsCut Warn "connections of callers were closed with requests in flight";
+    1011 TaskEnded Error "background task ended and is started again";
     2001 RouteDecided Info "routing decision";
     2002 RouteFailed Info "no target could be chosen";
     2003 RequestAnswered Info "request answered";
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -24,9 +24,10 @@
 pub mod reply;
 pub mod request;
 pub mod state;
+pub mod supervisor;
 
 use {
-    self::{metrics::GatewayMetrics, state::GatewayState},
+    self::{metrics::GatewayMetrics, state::GatewayState, supervisor::supervise},
     crate::{
         DaemonError, Result,
         arguments::GatewayArguments,
@@ -37,8 +38,12 @@
     },
     error_stack::{Report, ResultExt},
     sassafrasslip_platform::StoreClient,
-    std::rc::Rc,
-    tokio::{net::UdpSocket, task::LocalSet, time::Instant},
+    std::{io, net, rc::Rc},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        task::LocalSet,
+        time::Instant,
+    },
 };
 
 /// Runs a gateway until the process receives the stop signal and has drained its requests.
@@ -62,9 +67,14 @@
     let callers = callers.await.change_context(DaemonError::Listen)?;
     let readiness = bind("gateway", "readiness_address", gateway.readiness_address);
     let readiness = readiness.await.change_context(DaemonError::Listen)?;
+    let readiness = readiness.into_std();
+    let readiness = readiness.change_context(DaemonError::Listen)?;
     let snapshots = bind("gateway", "peer_address", gateway.peer_address);
     let snapshots = snapshots.await.change_context(DaemonError::Listen)?;
+    let snapshots = snapshots.into_std();
+    let snapshots = snapshots.change_context(DaemonError::Listen)?;
     let loads = UdpSocket::bind(gateway.load_address).await;
+    let loads = loads.and_then(UdpSocket::into_std);
     let loads = loads.change_context(DaemonError::Listen)?;
     let address = options.metrics.address;
     let started = telemetry::metrics::serve(address, registry.clone(), health.clone()).await;
@@ -72,19 +82,34 @@
     let store = StoreClient::new(options.platform.address, options.platform.timeout);
     let metrics = GatewayMetrics::register(&registry);
     let state = Rc::new(GatewayState::new(&options.instance, gateway, metrics));
-    tokio::task::spawn_local(refresh::follow_configuration(
-        Rc::clone(&state),
-        store.clone(),
-    ));
-    tokio::task::spawn_local(refresh::follow_targets(Rc::clone(&state), store));
-    tokio::task::spawn_local(peers::exchange_loads(Rc::clone(&state), loads));
-    tokio::task::spawn_local(placer::follow_groups(Rc::clone(&state)));
-    tokio::task::spawn_local(group_probes::probe_broken_groups(Rc::clone(&state)));
-    tokio::task::spawn_local(peers::serve_snapshots(Rc::clone(&state), snapshots));
-    tokio::task::spawn_local(peers::poll_peers(Rc::clone(&state)));
-    tokio::task::spawn_local(reload::reload_on_hangup(arguments, options));
-    tokio::task::spawn_local(admission::review_queues(Rc::clone(&state)));
-    tokio::task::spawn_local(readiness::serve(Rc::clone(&state), readiness, health));
+    let configuration_store = store.clone();
+    supervise(&state, "configuration", move |state| {
+        refresh::follow_configuration(state, configuration_store.clone())
+    });
+    supervise(&state, "targets", move |state| {
+        refresh::follow_targets(state, store.clone())
+    });
+    supervise(&state, "loads", move |state| {
+        let socket = loads.try_clone().and_then(UdpSocket::from_std);
+        with_socket(socket, |socket| peers::exchange_loads(state, socket))
+    });
+    supervise(&state, "groups", placer::follow_groups);
+    supervise(&state, "probes", group_probes::probe_broken_groups);
+    supervise(&state, "snapshots", move |state| {
+        let listener = duplicate(&snapshots);
+        with_socket(listener, |listener| peers::serve_snapshots(state, listener))
+    });
+    supervise(&state, "peers", peers::poll_peers);
+    supervise(&state, "settings", move |_| {
+        reload::reload_on_hangup(arguments.clone(), options.clone())
+    });
+    supervise(&state, "queues", admission::review_queues);
+    supervise(&state, "readiness", move |state| {
+        let (listener, health) = (duplicate(&readiness), health.clone());
+        with_socket(listener, |listener| {
+            readiness::serve(state, listener, health)
+        })
+    });
     let serving = callers::serve(Rc::clone(&state), callers, daemon.draining());
     let serving = tokio::task::spawn_local(serving);
     let daemon = daemon.serve().wait_for_stop().await;
@@ -95,3 +120,16 @@
     daemon.finish().await;
     Ok(())
 }
+
+/// Returns another handle of a listener, so that a task that has lost its own can start again.
+fn duplicate(listener: &net::TcpListener) -> io::Result<TcpListener> {
+    listener.try_clone().and_then(TcpListener::from_std)
+}
+
+/// Runs a task with its socket. Returns at once if there is none, as without file descriptors.
+async fn with_socket<T, F: Future<Output = ()>>(socket: io::Result<T>, run: impl FnOnce(T) -> F) {
+    match socket {
+        Ok(socket) => run(socket).await,
+        Err(error) => log::error!("socket of a task: {error}"),
+    }
+}
