--- a/crates/core/src/dispatch/map_plan.rs
+++ b/crates/core/src/dispatch/map_plan.rs
@@ -46,6 +46,9 @@
 /// four seconds, and a change takes some 300 ms in addition to the loading.
 const LOADING_BUDGET: Duration = Duration::from_millis(250);
 
+/// Longest expected duration of a pass. A profile whose numbers give a longer one or none is odd.
+const LONGEST_PASS: Duration = Duration::from_secs(3600);
+
 /// Lowest share by which a change must shorten the work of the slowest ranks to be worth its cost.
 const MIN_IMPROVEMENT: f64 = 0.08;
 
@@ -83,7 +86,8 @@
     /// planned for any demand.
     pub fn new_formation_pass(&self, engine: &EngineProfile) -> Duration {
         let model = PassModel::new(engine);
-        Duration::from_secs_f64(model.duration(self.running(), NEW_FORMATION_SKEW))
+        let pass = Duration::try_from_secs_f64(model.duration(self.running(), NEW_FORMATION_SKEW));
+        pass.map_or(LONGEST_PASS, |pass| pass.min(LONGEST_PASS))
     }
 
     /// Returns whether passes are expected to be too slow with the map of a new formation. This is
--- a/crates/core/tests/odd_entries.rs
+++ b/crates/core/tests/odd_entries.rs
@@ -6,6 +6,7 @@
         dispatch::{
             ChoiceInput, EngineProfile, GroupLoad, GroupMember, PassGovernor, RepeatRule,
             RouteRule, TargetChoice, TargetEntry, TargetRoster, TargetState, choose_target,
+            map_plan::PassLoad,
         },
         ids::{GroupName, ServiceName, ZoneName},
     },
@@ -210,6 +211,28 @@
     largest_size_and_slots: (u32::MAX, u32::MAX);
 }
 
+/// Guards against a placer that ends because the expected duration of a pass is no duration.
+fn check_pass(in_flight: u32, read_tokens_per_s: f64) {
+    let load = PassLoad {
+        ranks: 4,
+        in_flight,
+        pause_objective: None,
+    };
+    let odd = EngineProfile {
+        read_tokens_per_s,
+        ..engine(4)
+    };
+    assert!(load.new_formation_pass(&odd) >= odd.step);
+}
+
+test_cases! {
+    fn check_pass(in_flight: u32, read_tokens_per_s: f64);
+    idle_group_that_reads_nothing: (0, 0.0);
+    busy_group_that_reads_nothing: (8, 0.0);
+    busy_group_that_hardly_reads: (8, 1e-300);
+    group_that_reads_backwards: (8, -1.0);
+}
+
 /// Guards against a route that has no service, since the sum of its weights is out of range.
 #[test]
 fn huge_weights_of_services_are_added_up() {
