Keep the move of a stream from a target that sends bytes but no events

Callers of such a stream got nothing more until it was cut at its deadline, although another target could have gone on with it.

Cause: since a stream stays with its silent target until the other one has answered, and any byte of the silent target ended that attempt. The silence limit counts events only, so that a target that sends a byte now and then counted as silent and as going on by turns. An attempt that is given up counts as a run, after which none is left.

Change: only complete events, or the end of the stream, end the attempt.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -158,14 +158,16 @@
         }
     }
 
-    /// Waits until [`Self::next`] returns bytes or the end of the body without waiting. Waits forever
-    /// if the connection breaks, which only [`Self::next`] reports.
-    pub async fn wait_readable(&mut self) {
+    /// Waits until [`Self::next`] returns bytes or the end of the body without waiting, and returns
+    /// whether there are bytes. Waits forever if the connection breaks, which only [`Self::next`]
+    /// reports.
+    pub async fn wait_readable(&mut self) -> bool {
         if self.peeked.is_none() {
             self.peeked = Some(self.read().await);
         }
-        if matches!(self.peeked, Some(Err(_))) {
-            future::pending::<()>().await;
+        match &self.peeked {
+            Some(Ok(bytes)) => bytes.is_some(),
+            _ => future::pending().await,
         }
     }
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -22,7 +22,7 @@
         log_event,
     },
     sassafrasslip_platform::answer::forwarded_headers,
-    std::{ops::ControlFlow, time::Duration},
+    std::{future, ops::ControlFlow, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -149,7 +149,14 @@
                     return Ok(Some(events));
                 }
                 Ok(StreamStep::End) => self.is_complete = true,
-                Ok(StreamStep::Silence) => self.leave_silent_target(handler).await,
+                Ok(StreamStep::Silence) => {
+                    let events = self.leave_silent_target(handler).await;
+                    if !events.is_empty() {
+                        self.record_pause(handler, since);
+                        handler.longest_pause = handler.longest_pause.max(waiting_since.elapsed());
+                        return Ok(Some(events));
+                    }
+                }
                 Err(error) => self.resume_elsewhere(handler, &error).await?,
             }
         }
@@ -189,25 +196,29 @@
 
     /// Moves the stream to another target after a silence. A sound target may be silent for a while
     /// and go on, so that the stream stays with it until the other target has answered, and goes on
-    /// with whichever is first.
-    async fn leave_silent_target(&mut self, handler: &mut RequestHandler) {
+    /// with whichever is first. Returns the events with which the silent target has gone on, if any.
+    async fn leave_silent_target(&mut self, handler: &mut RequestHandler) -> Bytes {
         let (Some(open), Some(last_id)) = (&mut self.open, self.splitter.last_id()) else {
-            return;
+            return Bytes::new();
         };
         let key = open.lease.key;
         // A target that is cut off has to be ejected even if no other one can take its streams.
         handler.state.record_failure(key, Instant::now());
         let Some(lease) = handler.acquire_other_target() else {
-            return;
+            return Bytes::new();
         };
         let last_id = String::from_utf8_lossy(last_id).into_owned();
         let attempt = timeout(MOVE_TIMEOUT, handler.attempt_at(lease, Some(&last_id)));
-        let attempt = tokio::select! {
+        let (attempt, events) = tokio::select! {
             biased;
-            () = open.wait_readable() => None,
-            attempt = attempt => attempt.ok(),
+            events = continued_events(open, &mut self.splitter) => (None, events),
+            attempt = attempt => (attempt.ok(), Bytes::new()),
         };
         self.end_move(handler, key, attempt, &last_id, SILENCE_FAULT);
+        if !events.is_empty() {
+            handler.record_progress(key, Instant::now());
+        }
+        events
     }
 
     /// Continues the stream at the other target if that has taken it over, and at the target of `key`
@@ -343,6 +354,24 @@
     }
 }
 
+/// Waits until a silent target completes events, which are returned, or ends its stream. Bytes that
+/// complete none are no progress. What is left, such as a broken connection, is for
+/// [`next_events`] to report.
+async fn continued_events(open: &mut OpenAnswer, splitter: &mut EventSplitter) -> Bytes {
+    while open.wait_readable().await {
+        if let Ok(Some(bytes)) = open.next().await {
+            let events = splitter.push(&bytes);
+            if !events.is_empty() {
+                return events;
+            }
+        }
+        if splitter.pending_bytes() > MAX_EVENT_BYTES {
+            return future::pending().await;
+        }
+    }
+    Bytes::new()
+}
+
 /// Reads the next bytes, or `None` at the end of the stream. Returns no result after a silence, if the
 /// stream can move and other targets of the service make progress. The ranks of a group run each pass
 /// together and therefore stall together, so that a move within a stalled group would not help.
