Look for a free slot again soon for a stream of a silent target

Callers of a stream whose target falls silent while all other targets are full got no more events, though a slot became free before they left.

Change: as long as the reserved retry has not been used, the next look is after 250 ms. The silent target is blamed only the first time.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -79,7 +79,8 @@
         first: Bytes::new(),
         is_complete: false,
     };
-    match next_events(handler, &mut started.open, &mut started.splitter).await? {
+    let StartedStream { open, splitter, .. } = &mut started;
+    match next_events(handler, open, splitter, SILENCE_LIMIT).await? {
         StreamStep::Events(events) => started.first = events,
         StreamStep::End => started.is_complete = true,
         StreamStep::Silence => return Err(AttemptError::broken(SILENCE_FAULT)),
@@ -136,13 +137,18 @@
         }
         // Includes the time of a move to another target, which the caller sees as a pause.
         let waiting_since = Instant::now();
+        let mut needs_slot = false;
         while !self.is_complete {
             self.leave_slow_target(handler).await;
             let Some(open) = &mut self.open else {
                 return Err(self.abort(handler, "no target"));
             };
             let since = Instant::now();
-            match next_events(handler, open, &mut self.splitter).await {
+            let limit = match needs_slot {
+                true => SILENCE_CHECK_INTERVAL,
+                false => SILENCE_LIMIT,
+            };
+            match next_events(handler, open, &mut self.splitter, limit).await {
                 Ok(StreamStep::Events(events)) => {
                     self.record_pause(handler, since);
                     handler.longest_pause = handler.longest_pause.max(waiting_since.elapsed());
@@ -150,7 +156,15 @@
                 }
                 Ok(StreamStep::End) => self.is_complete = true,
                 Ok(StreamStep::Silence) => {
+                    // A target that is cut off has to be ejected even if no other one can take its
+                    // streams.
+                    if !needs_slot {
+                        let key = open.lease.key;
+                        handler.state.record_failure(key, Instant::now());
+                    }
                     let events = self.leave_silent_target(handler).await;
+                    // The caller leaves before another whole limit is over.
+                    needs_slot = handler.has_reserved_retry();
                     if !events.is_empty() {
                         self.record_pause(handler, since);
                         handler.longest_pause = handler.longest_pause.max(waiting_since.elapsed());
@@ -202,8 +216,6 @@
             return Bytes::new();
         };
         let key = open.lease.key;
-        // A target that is cut off has to be ejected even if no other one can take its streams.
-        handler.state.record_failure(key, Instant::now());
         let Some(lease) = handler.acquire_other_target() else {
             return Bytes::new();
         };
@@ -324,12 +336,13 @@
     handler: &mut RequestHandler,
     open: &mut OpenAnswer,
     splitter: &mut EventSplitter,
+    silence_limit: Duration,
 ) -> Result<StreamStep, AttemptError> {
     let key = open.lease.key;
     // The silence limit counts from here: bytes that do not complete an event are no progress.
-    let silent_since = Instant::now();
+    let check_at = Instant::now() + silence_limit;
     loop {
-        let Some(read) = read_with_silence_limit(handler, open, silent_since).await? else {
+        let Some(read) = read_with_silence_limit(handler, open, check_at).await? else {
             return Ok(StreamStep::Silence);
         };
         let Some(bytes) = read else {
@@ -378,10 +391,9 @@
 async fn read_with_silence_limit(
     handler: &mut RequestHandler,
     open: &mut OpenAnswer,
-    silent_since: Instant,
+    mut check_at: Instant,
 ) -> Result<Option<Option<Bytes>>, AttemptError> {
     let key = open.lease.key;
-    let mut check_at = silent_since + SILENCE_LIMIT;
     loop {
         let until = check_at.min(handler.deadline);
         match timeout_at(until, open.next()).await {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -446,6 +446,11 @@
         admission::acquire_for_move(&self.state, &self.service, &self.tried)
     }
 
+    /// Returns whether a retry has been reserved for a move that was not tried yet.
+    pub(super) fn has_reserved_retry(&self) -> bool {
+        self.has_reserved_retry
+    }
+
     /// Records that the request has run at a target that it has left for another one.
     pub(super) fn record_left_target(&mut self) {
         self.has_reserved_retry = false;
