Tell prompt parts of waiting requests from begun ones after a crash

What callers saw: after a target crashed for a reason of its own, requests with a prompt part that no target had answered yet were refused for up to 30 s, because one request with that part had been waiting at the target and the parts of all others were known. Requests whose part had only waited beside the one that caused the crash were refused too, and their parts made the cause one of several suspects, which is tried after 2 s and crashes a second target.

Cause: request quarantine keeps apart whether the target had begun an answer (head, no event) or the request was only waiting; the quarantine of shared parts took both for the same evidence.

Change: both are recorded by one rule. The parts of waiting requests count only if no suspect is left whose answer had begun. Then they are refused for 2 s and tried one at a time by any gateway, however few they are: each request with such a part could crash a target of its own before a second crash is known. What was sent after one crash and waits at the next becomes a full suspect.

Two replays of a part that crashes targets before any byte of an answer guard the bound of five crashes; they pass before and after.

--- a/crates/core/src/dispatch/part_quarantine.rs
+++ b/crates/core/src/dispatch/part_quarantine.rs
@@ -22,7 +22,7 @@
 /// several seconds of the work of a whole group, which is more than the requests with one new part.
 const SUSPECT_HOLD: Duration = Duration::from_secs(30);
 
-/// Time for which requests are refused whose part is one of several suspects. It is longer than
+/// Time for which requests are refused whose part is one of several suspects, or was only waiting. It is longer than
 /// [`INCIDENT_GAP`], so that a crash by a trial request counts as another incident.
 const SHARED_HOLD: Duration = Duration::from_secs(2);
 
@@ -81,6 +81,18 @@
 /// Highest number of parts in quarantine.
 const MAX_QUARANTINED: usize = 64;
 
+/// What happens to a part that was only waiting at a target that has crashed, if no other suspect is
+/// left.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum WaitingRule {
+    /// It is sent as before until another crash.
+    #[default]
+    Send,
+    /// It is refused for a short time and then tried. This suits parts that many requests share: each
+    /// of them could crash a target of its own before the second crash is known.
+    Try,
+}
+
 /// Identifies a crash by a hash of the target's name and start time, because a process crashes only
 /// once.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -168,8 +180,8 @@
 struct HoldPeriod {
     refused_until: Instant,
     trials_until: Instant,
-    /// Whether the part is only one of several suspects. Any gateway may send trial requests with
-    /// it, because most of such parts are sound.
+    /// Whether the part is only one of several suspects, or was only waiting. Any gateway may send
+    /// trial requests with it, because most of such parts are sound.
     is_shared: bool,
 }
 
@@ -211,6 +223,7 @@
 /// Crashes, their suspects, and the parts that are known to be sound or to crash targets.
 #[derive(Debug, Default)]
 pub struct PartQuarantine {
+    waiting_rule: WaitingRule,
     crashes: BTreeMap<CrashId, Crash>,
     proofs: HashMap<PromptPart, Proof>,
     quarantined: BTreeMap<PromptPart, QuarantinedPart>,
@@ -221,6 +234,14 @@
 }
 
 impl PartQuarantine {
+    /// Creates a quarantine without crashes.
+    pub fn new(waiting_rule: WaitingRule) -> Self {
+        Self {
+            waiting_rule,
+            ..Self::default()
+        }
+    }
+
     /// Records that a target has crashed before it began to answer a request of this gateway with
     /// the given shared parts; returns the changes.
     pub fn record_crash(
@@ -260,8 +281,9 @@
         if let Some(crash) = self.crashes.get_mut(&report.crash) {
             add_bounded(&mut crash.own_waiting, parts, MAX_WAITING);
         }
-        // Parts that are near one crash only are not refused.
-        if parts.iter().any(|part| self.is_near_another(*part, crash)) {
+        let changes_holds = self.waiting_rule == WaitingRule::Try
+            || parts.iter().any(|part| self.is_near_another(*part, crash));
+        if changes_holds {
             self.review()
         } else {
             Vec::new()
@@ -635,13 +657,19 @@
     fn hold_periods(&self) -> HashMap<PromptPart, HoldPeriod> {
         let mut holds: HashMap<PromptPart, HoldPeriod> = HashMap::new();
         for crash in self.unexplained() {
-            let unproven = self
-                .open_suspects(crash, &crash.suspects)
-                .filter(|part| !self.was_sound(*part, crash.at));
-            let unproven: Vec<_> = unproven.collect();
+            let begun: Vec<_> = self.open_suspects(crash, &crash.suspects).collect();
+            let was_waiting = begun.is_empty() && self.waiting_rule == WaitingRule::Try;
+            let open = match was_waiting {
+                true => self.open_suspects(crash, &crash.waiting).collect(),
+                false => begun,
+            };
+            let open = open.into_iter();
+            let unproven: Vec<_> = open
+                .filter(|part| !self.was_sound(*part, crash.at))
+                .collect();
             let hold = match unproven.len() {
                 0 => continue,
-                1 => HoldPeriod {
+                1 if !was_waiting => HoldPeriod {
                     refused_until: crash.at + SUSPECT_HOLD,
                     trials_until: crash.at + SUSPECT_HOLD + SUSPECT_TRIALS,
                     is_shared: false,
--- a/crates/core/src/dispatch/request_quarantine.rs
+++ b/crates/core/src/dispatch/request_quarantine.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        part_quarantine::{CrashId, PartChange, PartQuarantine, PartRestriction},
+        part_quarantine::{CrashId, PartChange, PartQuarantine, PartRestriction, WaitingRule},
         prompt_part::PromptPart,
     },
     std::result,
@@ -63,7 +63,7 @@
 }
 
 /// Crashes of targets, and the prompt parts and requests that cause them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestQuarantine {
     /// Shared parts of prompts.
     pub parts: PartQuarantine,
@@ -71,6 +71,15 @@
     pub wholes: PartQuarantine,
 }
 
+impl Default for RequestQuarantine {
+    fn default() -> Self {
+        Self {
+            parts: PartQuarantine::new(WaitingRule::Try),
+            wholes: PartQuarantine::new(WaitingRule::Send),
+        }
+    }
+}
+
 impl RequestQuarantine {
     /// Records that a target has crashed before it sent an event of the answer to a request of this
     /// gateway; returns the changes.
@@ -81,22 +90,8 @@
         evidence: CrashEvidence,
         now: Instant,
     ) -> Vec<RequestChange> {
-        let parts = match traits.shared_parts.as_slice() {
-            [] => Vec::new(),
-            shared => self.parts.record_crash(crash, shared, now),
-        };
-        let whole = traits.whole;
-        let is_suspect = match evidence {
-            CrashEvidence::Begun => true,
-            // A request that was sent after another target had crashed with it is hardly near both
-            // crashes by chance.
-            CrashEvidence::WaitingSince(since) => self.wholes.was_suspect(whole, since),
-        };
-        let wholes = if is_suspect {
-            self.wholes.record_crash(crash, &[whole], now)
-        } else {
-            self.wholes.record_waiting(crash, &[whole], now)
-        };
+        let parts = record_evidence(&mut self.parts, crash, &traits.shared_parts, evidence, now);
+        let wholes = record_evidence(&mut self.wholes, crash, &[traits.whole], evidence, now);
         join_changes(parts, wholes)
     }
 
@@ -155,6 +150,30 @@
     }
 }
 
+fn record_evidence(
+    quarantine: &mut PartQuarantine,
+    crash: CrashId,
+    parts: &[PromptPart],
+    evidence: CrashEvidence,
+    now: Instant,
+) -> Vec<PartChange> {
+    let is_suspect = |part: &PromptPart| match evidence {
+        CrashEvidence::Begun => true,
+        // What was sent after another target had crashed with it is hardly near both crashes by
+        // chance.
+        CrashEvidence::WaitingSince(since) => quarantine.was_suspect(*part, since),
+    };
+    let (suspects, waiting): (Vec<_>, Vec<_>) = parts.iter().copied().partition(is_suspect);
+    let mut changes = Vec::new();
+    if !suspects.is_empty() {
+        changes.extend(quarantine.record_crash(crash, &suspects, now));
+    }
+    if !waiting.is_empty() {
+        changes.extend(quarantine.record_waiting(crash, &waiting, now));
+    }
+    changes
+}
+
 fn join_changes(parts: Vec<PartChange>, wholes: Vec<PartChange>) -> Vec<RequestChange> {
     let parts = parts.into_iter().map(RequestChange::Part);
     let wholes = wholes.into_iter().map(RequestChange::Whole);
--- a/crates/core/tests/request_quarantine.rs
+++ b/crates/core/tests/request_quarantine.rs
@@ -28,6 +28,17 @@
     }
 }
 
+/// Returns the request with this body whose prompt has a part of its own that others may share.
+fn request_with(part: &str, body: &str) -> RequestTraits {
+    let shared = ["shared", part].map(PromptPart::from_name);
+    let own = PromptPart::from_name(body);
+    let prompt = shared.into_iter().chain([own]);
+    RequestTraits {
+        shared_parts: shared.to_vec(),
+        whole: PromptPart::of_request("POST", "shop", "/a/", prompt, body.as_bytes()),
+    }
+}
+
 /// Returns a request without a prompt.
 fn plain(path: &str) -> RequestTraits {
     RequestTraits {
@@ -94,6 +105,82 @@
     }
 }
 
+/// A target crashes for another reason while requests with a part that is in use and one with a new
+/// part wait there. Callers of the new part must not be refused for longer than it takes to try it.
+#[test]
+fn new_part_of_a_waiting_request_is_tried_soon() {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(2);
+    fleet.answer(0, &request("before"), start);
+    let crashed_at = start + SECOND;
+    let new = request_with("new", "a");
+    let open = [
+        (0, new, WaitingSince(start)),
+        (1, request("b"), WaitingSince(start)),
+    ];
+    fleet.crash(&open, crashed_at);
+    let trial_at = crashed_at + SECOND * 3;
+    let trial = request_with("new", "c");
+    assert!(fleet.send(1, &trial, trial_at));
+    fleet.answer(1, &trial, trial_at + RUN_TIME);
+    assert!(fleet.send(0, &request_with("new", "d"), trial_at + RUN_TIME));
+}
+
+/// A new part that only waited beside the one whose answer the target had begun gets no blame, and
+/// the one that had begun is not tried soon for its sake.
+#[test]
+fn waiting_part_does_not_share_the_blame_of_a_begun_one() {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(2);
+    fleet.answer(0, &request("before"), start);
+    let crashed_at = start + SECOND;
+    let open = [
+        (0, request_with("deadly", "a"), Begun),
+        (1, request_with("new", "b"), WaitingSince(start)),
+    ];
+    fleet.crash(&open, crashed_at);
+    assert!(fleet.send(0, &request_with("new", "c"), crashed_at));
+    for gateway in 0..2 {
+        let later = crashed_at + SECOND * 29;
+        assert!(!fleet.send(gateway, &request_with("deadly", "d"), later));
+    }
+}
+
+/// Requests of one kind crash targets before any byte of an answer, twice a second through one
+/// gateway after the other. Returns how many targets they crash in 25 s.
+fn replay_part(others: u32) -> u64 {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(4);
+    fleet.answer(0, &request("before"), start);
+    for round in 0..50 {
+        let now = start + SECOND + Duration::from_millis(500) * round;
+        let gateway = round as usize % 4;
+        let deadly = request_with("deadly", &format!("deadly{round}"));
+        let waiting = (0..others).map(|other| {
+            let traits = request_with(&format!("new{round}-{other}"), &format!("{round}-{other}"));
+            (gateway, traits, WaitingSince(now - RUN_TIME))
+        });
+        if fleet.send(gateway, &deadly, now) {
+            let mut open: Vec<_> = waiting.collect();
+            open.push((gateway, deadly, WaitingSince(now)));
+            fleet.crash(&open, now + RUN_TIME);
+        }
+    }
+    fleet.crashes
+}
+
+/// The users allow five crashes by requests of one kind.
+fn check_replay_part(others: u32, most: u64) {
+    let crashes = replay_part(others);
+    assert!(crashes <= most, "{crashes} crashes");
+}
+
+test_cases! {
+    fn check_replay_part(others: u32, most: u64);
+    part_that_crashes_targets_before_their_answer: (0, 5);
+    part_that_crashes_targets_before_their_answer_beside_new_ones: (3, 5);
+}
+
 /// Sends a request that crashes targets twice a second through one gateway after the other, with
 /// sound requests beside it. Returns how many targets it crashes in 25 s.
 fn replay(deadly: &RequestTraits, has_head: bool) -> u64 {
--- a/crates/daemon/src/gateway/part_news.rs
+++ b/crates/daemon/src/gateway/part_news.rs
@@ -25,6 +25,7 @@
         crash: report.crash.hash(),
         suspects: hashes(&report.suspects),
         age_ms: age_ms(report.at, now),
+        waiting: hashes(&report.waiting),
     });
     let request_crashes = wholes.crash_news(now).map(|report| RequestCrashRecord {
         crash: report.crash.hash(),
@@ -74,7 +75,7 @@
             crash: CrashId::from_hash(record.crash),
             at: time_of(record.age_ms, now)?,
             suspects: from_hashes(&record.suspects),
-            waiting: Vec::new(),
+            waiting: from_hashes(&record.waiting),
         })
     });
     let changed = apply_to(
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -77,6 +77,7 @@
             crash: 1,
             suspects: vec![2, 3],
             age_ms: 40,
+            waiting: vec![4],
         }],
         proofs: vec![PartProofRecord {
             part: 2,
