--- a/crates/core/src/dispatch/part_quarantine.rs
+++ b/crates/core/src/dispatch/part_quarantine.rs
@@ -22,9 +22,8 @@
 /// several seconds of the work of a whole group, which is more than the requests with one new part.
 const SUSPECT_HOLD: Duration = Duration::from_secs(30);
 
-/// Time for which requests are refused whose part is one of several suspects, was only waiting, or
-/// was at one of several targets that crashed at once. It is longer than [`INCIDENT_GAP`], so that a
-/// crash by a trial request counts as another incident.
+/// Time for which requests are refused whose part is one of several suspects, or was only waiting. It is longer than
+/// [`INCIDENT_GAP`], so that a crash by a trial request counts as another incident.
 const SHARED_HOLD: Duration = Duration::from_secs(2);
 
 /// Time for which requests with a quarantined part are refused after the second crash. It doubles
@@ -181,10 +180,9 @@
 struct HoldPeriod {
     refused_until: Instant,
     trials_until: Instant,
-    /// Whether the evidence is weak: the part is one of several suspects, was only waiting, or was at
-    /// one of several targets that crashed at once. Any gateway may send trial requests with it,
-    /// because most of such parts are sound.
-    is_weak: bool,
+    /// Whether the part is only one of several suspects, or was only waiting. Any gateway may send
+    /// trial requests with it, because most of such parts are sound.
+    is_shared: bool,
 }
 
 /// Latest request that was sent to find out whether a part still crashes targets.
@@ -279,18 +277,13 @@
             suspects: Vec::new(),
             waiting: parts.to_vec(),
         };
-        let is_new = !self.crashes.contains_key(&crash);
         self.add_suspects(&report, now);
         if let Some(crash) = self.crashes.get_mut(&report.crash) {
             add_bounded(&mut crash.own_waiting, parts, MAX_WAITING);
         }
-        // A new crash may show that one fault has stopped several targets. Sound parts that are near
-        // one crash only change nothing.
-        let changes_holds = |part| {
-            (self.waiting_rule == WaitingRule::Try && !self.was_sound(part, now))
-                || self.is_near_another(part, crash)
-        };
-        if is_new || parts.iter().copied().any(changes_holds) {
+        let changes_holds = self.waiting_rule == WaitingRule::Try
+            || parts.iter().any(|part| self.is_near_another(*part, crash));
+        if changes_holds {
             self.review()
         } else {
             Vec::new()
@@ -428,7 +421,7 @@
         }
         // A request with several held parts would not show which of them crashes a target.
         let is_trial = held.len() == 1
-            && (hold.is_weak || runs_trials)
+            && (hold.is_shared || runs_trials)
             && self
                 .trial
                 .is_none_or(|trial| now >= trial.started_at + TRIAL_TIMEOUT);
@@ -661,16 +654,6 @@
         })
     }
 
-    /// Returns whether another target crashed at about the same time that had begun no suspect and
-    /// where a part was not open. One fault has then probably stopped both.
-    fn has_common_fault(&self, crash: &Crash, part: PromptPart) -> bool {
-        self.crashes.values().any(|other| {
-            let gap = crash.at.max(other.at) - crash.at.min(other.at);
-            let has_begun = self.open_suspects(other, &other.suspects).next().is_some();
-            gap <= INCIDENT_GAP && !has_begun && !other.has(part)
-        })
-    }
-
     fn hold_periods(&self) -> HashMap<PromptPart, HoldPeriod> {
         let mut holds: HashMap<PromptPart, HoldPeriod> = HashMap::new();
         for crash in self.unexplained() {
@@ -686,15 +669,15 @@
                 .collect();
             let hold = match unproven.len() {
                 0 => continue,
-                1 if !was_waiting && !self.has_common_fault(crash, unproven[0]) => HoldPeriod {
+                1 if !was_waiting => HoldPeriod {
                     refused_until: crash.at + SUSPECT_HOLD,
                     trials_until: crash.at + SUSPECT_HOLD + SUSPECT_TRIALS,
-                    is_weak: false,
+                    is_shared: false,
                 },
                 _ => HoldPeriod {
                     refused_until: crash.at + SHARED_HOLD,
                     trials_until: crash.at + CRASH_RETENTION,
-                    is_weak: true,
+                    is_shared: true,
                 },
             };
             for part in unproven {
@@ -708,7 +691,7 @@
             let hold = HoldPeriod {
                 refused_until: part.crashed_at + part.hold(),
                 trials_until: part.crashed_at + part.hold() * 2,
-                is_weak: false,
+                is_shared: false,
             };
             holds.insert(part.part, hold);
         }
--- a/crates/core/tests/request_quarantine.rs
+++ b/crates/core/tests/request_quarantine.rs
@@ -259,47 +259,6 @@
     assert!(fleet.send(0, &plain("/"), start + SECOND * 2));
 }
 
-/// Stops three targets within a second, the first of which had begun to answer a request. Returns how
-/// long the request is refused afterwards.
-fn refusal_after_crashes(begun: [Option<RequestTraits>; 3]) -> Duration {
-    let start = Instant::now();
-    let mut fleet = Fleet::new(2);
-    fleet.answer(0, &request("before"), start);
-    let mut at = start;
-    for (number, traits) in begun.iter().enumerate() {
-        at = start + SECOND + Duration::from_millis(50) * number as u32;
-        let waiting = (1, request(&format!("waiting{number}")), WaitingSince(start));
-        let begun = traits.iter().map(|traits| (0, traits.clone(), Begun));
-        let open: Vec<_> = begun.chain([waiting]).collect();
-        fleet.crash(&open, at);
-    }
-    let traits = begun[0].as_ref().unwrap();
-    let is_refused = |gateway: &RequestQuarantine, now| {
-        let restriction = gateway.restriction(traits, true, now);
-        restriction.is_some()
-    };
-    let seconds = (0..60).take_while(|second| {
-        let now = at + SECOND * *second;
-        let mut gateways = fleet.gateways.iter();
-        gateways.any(|gateway| is_refused(gateway, now))
-    });
-    SECOND * seconds.count() as u32
-}
-
-fn check_refusal(begun: [Option<RequestTraits>; 3], expected: Duration) {
-    assert_eq!(refusal_after_crashes(begun), expected);
-}
-
-test_cases! {
-    fn check_refusal(begun: [Option<RequestTraits>; 3], expected: Duration);
-    request_at_one_of_several_targets_that_crash_at_once_is_tried_soon:
-        ([Some(request("sound")), None, None], SECOND * 2);
-    request_at_all_of_several_targets_that_crash_at_once_is_refused:
-        ([Some(request("deadly")), Some(request("deadly")), Some(request("deadly"))], SECOND * 30);
-    requests_that_crash_one_target_each_at_once_are_refused:
-        ([Some(request("deadly")), Some(request("other")), Some(request("third"))], SECOND * 30);
-}
-
 /// A request that many callers send alike is near crashes of other causes by chance.
 #[test]
 fn request_that_is_answered_between_crashes_gets_no_blame() {
