Follow the store when it names an earlier era than known

What callers saw: after a peer has named an era that the store has not reached, or after the store was set up anew with a lower one, a gateway takes no new target and no new configuration from the store: targets that have left get requests, added routes answer 404, for as long as the gateway runs.

Cause: the highest era ever heard of was kept, whoever had named it, and every answer of an earlier one was dropped (8004).

Change: what a peer names is a claim. A call to the store that began after it shows the store's era, as answers of the store are linearizable; it disproves a higher claim, which is not believed again. An era that the store itself has named is given up after all of its answers have named an earlier one for 2 s. Data of a peer that names a disproved era are treated as of an unnamed one. Event 8005 tells it.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -141,6 +141,7 @@
     8002 PlatformRecovered Info "platform calls succeed again";
     8003 StoreRestored Warn "store was restored from an older copy";
     8004 StoreAnswerOutdated Warn "answer from before the restore of the store ignored";
+    8005 StoreEraAbandoned Warn "era that the store does not have given up";
 }
 
 /// Logs a [`LogEvent`] at its level, with its number, its name and the given `key = value` fields.
--- a/crates/core/tests/store_history.rs
+++ b/crates/core/tests/store_history.rs
@@ -61,8 +61,12 @@
 }
 
 fn check_era(eras: &[StoreEra], expected: EraChange) {
+    let now = Instant::now();
     let mut known = KnownEra::default();
-    let changes: Vec<_> = eras.iter().map(|era| known.record(*era)).collect();
+    let changes: Vec<_> = eras
+        .iter()
+        .map(|era| known.record_answer(*era, now, now))
+        .collect();
     assert_eq!(changes.last(), Some(&expected), "{changes:?}");
 }
 
@@ -74,10 +78,78 @@
     answer_without_era_is_of_the_known_one: (&[SECOND, StoreEra::UNNAMED], EraChange::Same);
 }
 
+/// Source of an era, in order of time: a call to the store, by the milliseconds at which it began
+/// and ended, or a peer.
+#[derive(Clone, Copy, Debug)]
+enum EraSource {
+    Store(u64, u64),
+    Peer(u64),
+}
+
+use EraSource::{Peer, Store};
+
+fn check_known_era(sources: &[(EraSource, StoreEra)], expected: StoreEra) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut known = KnownEra::default();
+    for (source, era) in sources {
+        match source {
+            Store(asked, answered) => known.record_answer(*era, at(*asked), at(*answered)),
+            Peer(heard) => known.record_claim(*era, at(*heard)),
+        };
+    }
+    assert_eq!(known.era(), expected);
+}
+
+const WRONG: StoreEra = StoreEra::named(98);
+
+test_cases! {
+    fn check_known_era(sources: &[(EraSource, StoreEra)], expected: StoreEra);
+    peer_may_learn_of_a_restore_first: (&[(Store(0, 1), FIRST), (Peer(5), SECOND)], SECOND);
+    call_that_began_before_the_claim_of_a_peer_does_not_disprove_it: (
+        &[(Store(0, 1), FIRST), (Peer(5), SECOND), (Store(4, 9), FIRST)], SECOND
+    );
+    call_after_the_claim_of_a_peer_disproves_it: (
+        &[(Store(0, 1), FIRST), (Peer(5), WRONG), (Store(6, 9), FIRST)], FIRST
+    );
+    first_claim_of_a_peer_can_be_disproved: (&[(Peer(5), WRONG), (Store(6, 9), FIRST)], FIRST);
+    disproved_claim_is_not_believed_again: (
+        &[(Peer(5), WRONG), (Store(6, 9), FIRST), (Peer(10), WRONG)], FIRST
+    );
+    later_restore_is_believed_after_a_disproved_claim: (
+        &[(Peer(5), WRONG), (Store(6, 9), FIRST), (Peer(10), SECOND)], SECOND
+    );
+    single_answer_of_an_earlier_era_changes_nothing: (
+        &[(Store(0, 1), SECOND), (Store(2, 3), FIRST)], SECOND
+    );
+    store_that_was_set_up_anew_is_followed: (
+        &[(Store(0, 1), WRONG), (Store(600, 601), FIRST), (Store(2600, 2601), FIRST)], FIRST
+    );
+    answers_of_two_processes_of_the_store_do_not_end_an_era: (
+        &[
+            (Store(0, 1), SECOND), (Store(600, 601), FIRST), (Store(1200, 1201), SECOND),
+            (Store(2600, 2601), FIRST),
+        ],
+        SECOND
+    );
+}
+
+#[test]
+fn lists_of_an_era_that_was_given_up_are_forgotten() {
+    let now = Instant::now();
+    let mut history = ListHistory::default();
+    assert!(history.record(stamp(WRONG, 100), now));
+    history.forget_after(WRONG);
+    assert!(!history.record(stamp(FIRST, 20), now));
+    history.forget_after(FIRST);
+    assert!(history.record(stamp(FIRST, 20), now));
+}
+
 fn check_coverage(known: &[StoreEra], named: StoreEra, covered: bool) {
+    let now = Instant::now();
     let mut era = KnownEra::default();
     for known in known {
-        era.record(*known);
+        era.record_answer(*known, now, now);
     }
     assert_eq!(era.covers(named), covered);
 }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -378,7 +378,8 @@
 
 /// Notes a peer whose configuration is newer than the one in force here.
 fn note_configuration(state: &GatewayState, address: Ipv4Addr, report: &LoadReport, now: Instant) {
-    let rank = (report.revision, StoreEra::from_value(report.document_era));
+    let era = StoreEra::from_value(report.document_era);
+    let rank = (report.revision, state.known_era.get().believed(era));
     if rank > state.configuration_rank() && state.newer_peer.get().is_none() {
         state.newer_peer.set(Some((address, now)));
     }
@@ -615,13 +616,13 @@
     requested_at: Instant,
     peer: SocketAddr,
 ) -> Result<()> {
-    let list_era = StoreEra::from_value(snapshot.list_era);
-    let configuration_era = StoreEra::from_value(snapshot.configuration_era);
-    let latest_era = list_era.max(configuration_era);
-    if latest_era > state.known_era.get().era() {
-        state.note_era(latest_era, "peer");
+    for value in [snapshot.list_era, snapshot.configuration_era] {
+        state.note_claimed_era(StoreEra::from_value(value));
     }
     let known_era = state.known_era.get();
+    let believed = |value| known_era.believed(StoreEra::from_value(value));
+    let list_era = believed(snapshot.list_era);
+    let configuration_era = believed(snapshot.configuration_era);
     let configuration_age = Duration::from_millis(snapshot.configuration_age_ms);
     let is_current = configuration_age <= state.options.configuration_limit;
     // A peer that is cut off from the store may hold a configuration with API keys that have been
@@ -633,7 +634,7 @@
         let step = PeerStep::Decode;
         let table = decode_configuration(&snapshot.document);
         let table = table.change_context(PeerError { step, peer })?;
-        let document_era = StoreEra::from_value(snapshot.document_era);
+        let document_era = believed(snapshot.document_era);
         state.apply_table(table, snapshot.document, document_era, "peer");
     }
     let ago = |age_ms| requested_at.checked_sub(Duration::from_millis(age_ms));
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -161,11 +161,15 @@
     newest: &mut StoreStamp,
 ) -> Result<Option<StoreStamp>, Report<StoreError>> {
     let Some(stamp) = stamp else {
+        let asked_at = Instant::now();
         let (document, stamp) = store.read_configuration().await?;
-        let Some(stamp) = state.note_stamp(stamp) else {
+        let Some(stamp) = state.note_stamp(stamp, asked_at) else {
             sleep(STALE_PAUSE).await;
             return Ok(None);
         };
+        if newest.era > stamp.era {
+            *newest = StoreStamp::default();
+        }
         apply_document(state, &document, stamp);
         // While the store has lost its history, it may answer a read with an old version.
         if stamp < *newest {
@@ -233,7 +237,8 @@
                     }
                 }
                 unreadable = listing.unreadable.into_iter().collect();
-                let stamp = state.note_stamp(listing.stamp);
+                let stamp = state.note_stamp(listing.stamp, asked_at);
+                history.forget_after(state.known_era.get().era());
                 if let Some(stamp) = stamp.filter(|stamp| history.record(*stamp, asked_at)) {
                     let entries = listing.targets.into_iter();
                     let list = entries
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -21,9 +21,9 @@
             TargetKey, TargetList, TargetRoster,
         },
         events::LogEvent::{
-            GroupChanged, GroupForming, StoreAnswerOutdated, StoreRestored, TableApplied,
-            TableOutdated, TargetEjected, TargetHeldOff, TargetLeft, TargetLimited, TargetListed,
-            TargetRecovered, TargetSlow, TargetUnlimited,
+            GroupChanged, GroupForming, StoreAnswerOutdated, StoreEraAbandoned, StoreRestored,
+            TableApplied, TableOutdated, TargetEjected, TargetHeldOff, TargetLeft, TargetLimited,
+            TargetListed, TargetRecovered, TargetSlow, TargetUnlimited,
         },
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
@@ -221,43 +221,64 @@
         (revision.unwrap_or_default(), self.document_era.get())
     }
 
-    /// Records the stamp of an answer of the store; returns it with the era that counts for it, or
-    /// `None` if the answer is from before a restore.
-    pub fn note_stamp(&self, stamp: StoreStamp) -> Option<StoreStamp> {
-        let is_recent = self.note_era(stamp.era, "store");
-        let era = self.known_era.get().era();
-        is_recent.then_some(StoreStamp { era, ..stamp })
+    /// Records the stamp of the answer to a call of the store that began at `asked_at`; returns it
+    /// with the era that counts for it, or `None` if the answer is from before a restore.
+    pub fn note_stamp(&self, stamp: StoreStamp, asked_at: Instant) -> Option<StoreStamp> {
+        let now = Instant::now();
+        let mut known = self.known_era.get();
+        let change = known.record_answer(stamp.era, asked_at, now);
+        self.known_era.set(known);
+        self.note_era_change(change, "store");
+        let era = known.era();
+        match change {
+            EraChange::Outdated => {
+                let (era, known) = (stamp.era.value(), era.value());
+                log_event!(
+                    StoreAnswerOutdated,
+                    era = era,
+                    known = known,
+                    source = "store"
+                );
+                return None;
+            }
+            EraChange::Abandoned(_) => {
+                for named in [&self.list_era, &self.configuration_era, &self.document_era] {
+                    named.set(named.get().min(era));
+                }
+                // Targets may not have written their entries to the store yet.
+                self.roster.borrow_mut().note_list_regained(now);
+            }
+            EraChange::Same | EraChange::Restored(_) => {}
+        }
+        Some(StoreStamp { era, ..stamp })
     }
 
-    /// Records the era that the store or a peer has named; returns `false` if it is an earlier one
-    /// than known, so that what came with it is outdated.
-    pub fn note_era(&self, era: StoreEra, source: &'static str) -> bool {
+    /// Records the era that a peer has named.
+    pub fn note_claimed_era(&self, era: StoreEra) {
         let mut known = self.known_era.get();
-        let change = known.record(era);
+        let change = known.record_claim(era, Instant::now());
         self.known_era.set(known);
-        let known = known.era().value();
+        self.note_era_change(change, "peer");
+    }
+
+    fn note_era_change(&self, change: EraChange, source: &'static str) {
+        let era = self.known_era.get().era().value();
         match change {
-            EraChange::Same => {}
             EraChange::Restored(previous) => {
                 let previous = previous.value();
                 log_event!(
                     StoreRestored,
-                    era = known,
+                    era = era,
                     previous = previous,
                     source = source
                 );
             }
-            EraChange::Outdated => {
-                let era = era.value();
-                log_event!(
-                    StoreAnswerOutdated,
-                    era = era,
-                    known = known,
-                    source = source
-                );
+            EraChange::Abandoned(previous) => {
+                let previous = previous.value();
+                log_event!(StoreEraAbandoned, era = era, abandoned = previous);
             }
+            EraChange::Same | EraChange::Outdated => {}
         }
-        change != EraChange::Outdated
     }
 
     /// Puts a configuration that the store held in the era `era` in force, unless the one in force
