Ask peers again which targets have left when the store is restored

What callers saw: a target that leaves just before the outage of the store, by the list that all gateways but one have read, gets requests of that one after the return, until its entry expires for want of heartbeats.

Cause: the copy shows the target as ready. A gateway that has missed the departure cannot tell it from others, and asked peers only after its start.

Evidence: departure_that_one_gateway_missed_before_a_restore_is_known_to_it_afterwards (four gateways, four zones) fails on: 10 of 24 requests of the gateway reach the target that has left.

Change: the first list of a later era makes the gateway ask two peers again.

--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -52,7 +52,8 @@
 /// Uptime from which on a gateway counts as settled and is preferred as a placer.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 
-/// Number of peers that a gateway asks after its start which targets have left.
+/// Number of peers that a gateway asks, after its start and after a restore of the store, which
+/// targets have left.
 const DEPARTURE_SOURCES: usize = 2;
 
 /// Value of the log key `source` for facts that this gateway has read from the report of a rank.
@@ -93,7 +94,7 @@
     pub configuration_era: Cell<StoreEra>,
     /// Era of the store in which it last held the configuration in force.
     pub document_era: Cell<StoreEra>,
-    /// Number of peers that are still to be asked, after the start, which targets have left.
+    /// Number of peers that are still to be asked which targets have left.
     pub departures_due: Cell<usize>,
     /// Peer with a newer configuration than this gateway, and when it was first heard of.
     pub newer_peer: Cell<Option<(Ipv4Addr, Instant)>>,
@@ -368,6 +369,8 @@
         // was restored.
         if previous.is_named() && era > previous {
             self.roster.borrow_mut().note_list_regained(now);
+            // A departure that was missed before the restore is not in the store anymore.
+            self.departures_due.set(DEPARTURE_SOURCES);
         }
         let changes = self.roster.borrow_mut().apply_list(list, now);
         self.listed_at.set(Some(now));
