Ask informed peers before a gateway counts as ready after a restore

What callers saw: a gateway that starts after the return of the store takes the copy for the present. Right after its first positive readiness probe it answers 404 on routes that were added after the copy, and sends requests to targets that have left, until it has asked peers 0.5 to 1 s later. If several start together, they may ask each other, and count answers of peers that know nothing.

Cause: the gateway polled peers at a fixed interval and counted any two answers; readiness did not wait for them.

Change: core/dispatch/peer_inquiry.rs keeps which peers have answered in an era. The gateway asks as soon as it has the first list and whenever a peer appears; its first load report goes to the seeds at once. Entries of a store that was never restored are confirmed.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -15,6 +15,7 @@
 pub mod part_quarantine;
 pub mod pass_governor;
 pub mod pass_model;
+pub mod peer_inquiry;
 pub mod peer_table;
 pub mod prompt_part;
 pub mod rank_status;
@@ -44,6 +45,7 @@
     },
     pass_governor::{GroupLoad, PassGovernor, StartPacer},
     pass_model::PassModel,
+    peer_inquiry::PeerInquiry,
     peer_table::{PeerReport, PeerTable},
     prompt_part::PromptPart,
     rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
--- a/crates/core/src/dispatch/store_history.rs
+++ b/crates/core/src/dispatch/store_history.rs
@@ -39,6 +39,12 @@
         self.0
     }
 
+    /// Returns whether the store has been restored at least once. Each restore raises the era by
+    /// one, so that a store with the lowest one never was.
+    pub fn is_restored(self) -> bool {
+        self > Self::named(0)
+    }
+
     /// Returns whether the store or the peer names the era.
     pub fn is_named(self) -> bool {
         self != Self::UNNAMED
@@ -199,7 +205,9 @@
     /// which the store was restored. One that was written after the first list of the era is not.
     pub fn is_unconfirmed(&self, version: StoreVersion, now: Instant) -> bool {
         self.first.is_some_and(|(first, read_at)| {
-            first.era.is_named() && version <= first.version && now < read_at + CONFIRMATION_LIMIT
+            first.era.is_restored()
+                && version <= first.version
+                && now < read_at + CONFIRMATION_LIMIT
         })
     }
 }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -356,11 +356,6 @@
         Some(entry)
     }
 
-    /// Returns whether entries may be of the copy from which the store was restored.
-    pub fn has_unconfirmed(&self) -> bool {
-        self.targets.values().any(|target| target.is_unconfirmed)
-    }
-
     /// Returns the incarnations that this gateway knows to be leaving or gone.
     pub fn departures(&self) -> impl Iterator<Item = TargetDeparture> {
         let leaving = self.targets.values().filter(|target| !target.takes_work());
--- a/crates/core/tests/store_history.rs
+++ b/crates/core/tests/store_history.rs
@@ -250,3 +250,11 @@
     roster.apply(vec![entry("left", 5), entry("other", 5)], now);
     assert!(roster.find_target("left").unwrap().takes_work());
 }
+
+#[test]
+fn entry_of_a_store_that_was_never_restored_is_confirmed() {
+    let now = Instant::now();
+    let mut history = ListHistory::default();
+    assert!(history.record(stamp(FIRST, 100), now));
+    assert!(!history.is_unconfirmed(20, now));
+}
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -14,7 +14,7 @@
     crate::listen,
     bytes::{Bytes, BytesMut},
     error_stack::{Report, ResultExt},
-    futures_util::{SinkExt, StreamExt},
+    futures_util::{SinkExt, StreamExt, future::join_all},
     prost::Message,
     sassafrasslip_core::{
         dispatch::{
@@ -42,7 +42,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream, UdpSocket},
-        time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+        time::{Instant, MissedTickBehavior, interval, sleep, sleep_until, timeout},
     },
     tokio_util::codec::{Framed, LengthDelimitedCodec},
     xxhash_rust::xxh3::xxh3_64,
@@ -93,6 +93,9 @@
 /// Number of peers that are polled each time.
 const POLLED_PEERS: usize = 2;
 
+/// Most rounds of questions in a row of an inquiry. Later ones follow at the interval of polling.
+const INQUIRY_ROUNDS: usize = 3;
+
 /// Pause after a failed receive on the datagram socket.
 const RECEIVE_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -172,7 +175,8 @@
         // gone.
         let interval = remote_interval(remote.len());
         let remote_ticks = interval.as_millis().div_ceil(ZONE_INTERVAL.as_millis()) as u64;
-        if is_news || gossips || tick.is_multiple_of(remote_ticks) {
+        // The first report makes the seeds answer at once.
+        if is_news || gossips || sequence == 0 || tick.is_multiple_of(remote_ticks) {
             report.interval_ms = interval.as_millis() as u32;
             send_report(&socket, &report, &remote, port);
         }
@@ -371,6 +375,7 @@
     drop(peers);
     if is_new {
         state.gossip_due.set(true);
+        state.inquiry_due.notify_one();
         log_event!(PeerChanged, peer = address, state = "joined");
     }
     state.update_peer_loads(now);
@@ -451,6 +456,7 @@
         configuration_era: state.configuration_era.get().value(),
         document_era: rank.1.value(),
         departures,
+        informed: state.is_informed(now),
     }
 }
 
@@ -532,36 +538,65 @@
 }
 
 /// Polls peers for snapshots until the process ends: while this gateway has no configuration or no
-/// recent instance list, after its start while entries may be of a copy from which the store was
-/// restored, and when a peer has had a newer configuration for some time.
+/// recent instance list, when the store was restored, and when a peer has had a newer configuration
+/// for some time.
 pub async fn poll_peers(state: Rc<GatewayState>) {
     let limit = state.options.configuration_limit;
     let interval = SNAPSHOT_INTERVAL.min(limit.mul_f64(SNAPSHOT_INTERVAL_SHARE));
+    let mut next_poll = Instant::now() + interval;
     loop {
-        sleep(interval).await;
+        let is_poll = tokio::select! {
+            () = sleep_until(next_poll) => true,
+            () = state.inquiry_due.notified() => false,
+        };
         let now = Instant::now();
-        let newer = state.newer_peer.get();
-        let newer = newer.filter(|(_, heard_at)| now >= *heard_at + interval);
         let mut polled = Vec::new();
-        if let Some((address, _)) = newer {
-            state.newer_peer.set(None);
-            polled.push(address);
-        }
-        let wants_departures =
-            state.departures_due.get() > 0 && state.roster.borrow().has_unconfirmed();
-        if state.table().is_none() || state.list_age(now) >= LIST_AGE_LIMIT || wants_departures {
-            polled.extend(state.peers.borrow().live(now).take(POLLED_PEERS));
-        }
-        for address in polled {
-            let peer = SocketAddr::from((address, state.options.peer_address.port()));
-            let fetched = fetch_snapshot(&state, peer).await;
-            if let Err(report) = fetched {
-                log::debug!("{}", crate::describe(&report));
+        if is_poll {
+            next_poll = now + interval;
+            let newer = state.newer_peer.get();
+            let newer = newer.filter(|(_, heard_at)| now >= *heard_at + interval);
+            if let Some((address, _)) = newer {
+                state.newer_peer.set(None);
+                polled.push(address);
+            }
+            if state.table().is_none() || state.list_age(now) >= LIST_AGE_LIMIT {
+                polled.extend(state.peers.borrow().live(now).take(POLLED_PEERS));
             }
         }
+        fetch_snapshots(&state, polled).await;
+        ask_peers(&state).await;
     }
 }
 
+/// Asks peers which targets have left, as long as the inquiry needs more answers.
+async fn ask_peers(state: &GatewayState) {
+    let mut asked = Vec::new();
+    for _ in 0..INQUIRY_ROUNDS {
+        let now = Instant::now();
+        let unasked = {
+            let peers = state.peers.borrow();
+            let live = peers.live(now).filter(|address| !asked.contains(address));
+            state.inquiry.borrow().next_peers(live, now)
+        };
+        if unasked.is_empty() {
+            return;
+        }
+        asked.extend_from_slice(&unasked);
+        fetch_snapshots(state, unasked).await;
+    }
+}
+
+async fn fetch_snapshots(state: &GatewayState, addresses: Vec<Ipv4Addr>) {
+    let port = state.options.peer_address.port();
+    let fetches = addresses.into_iter().map(|address| async move {
+        let fetched = fetch_snapshot(state, SocketAddr::from((address, port))).await;
+        if let Err(report) = fetched {
+            log::debug!("{}", crate::describe(&report));
+        }
+    });
+    join_all(fetches).await;
+}
+
 /// Returns the peer address of the gateway that reads the store for this gateway's zone; `None` if
 /// this gateway does.
 pub fn zone_reader(state: &GatewayState, now: Instant) -> Option<SocketAddr> {
@@ -593,7 +628,8 @@
             revision,
             list_digest,
             document_era: document_era.value(),
-            wants_departures: state.departures_due.get() > 0,
+            wants_departures: state.listed_at.get().is_none()
+                || state.inquiry.borrow().is_open(requested_at),
         };
         let request = request.encode_to_vec();
         let sent = frames.send(Bytes::from(request)).await;
@@ -682,7 +718,8 @@
         started_at_ms: record.started_at_ms,
     });
     state.note_departures(departures.collect(), requested_at);
-    let due = state.departures_due.get();
-    state.departures_due.set(due.saturating_sub(1));
+    if let Some(address) = ipv4(peer.ip()) {
+        state.note_inquiry_answer(address, snapshot.informed);
+    }
     Ok(())
 }
--- a/crates/daemon/src/gateway/readiness.rs
+++ b/crates/daemon/src/gateway/readiness.rs
@@ -11,7 +11,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     sassafrasslip_platform::READINESS_PATH,
     std::{convert::Infallible, rc::Rc, time::Duration},
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, time::Instant},
 };
 
 /// Time in which the load balancer must send the head of a probe.
@@ -24,7 +24,7 @@
         let (stream, _) = listen::accept(&listener, "readiness_address").await;
         let (state, health) = (Rc::clone(&state), health.clone());
         let service = service_fn(move |request: Request<Incoming>| {
-            let is_ready = health.is_ready() && state.can_serve();
+            let is_ready = health.is_ready() && state.can_serve(Instant::now());
             let response = answer(request.uri().path(), is_ready);
             async move { Ok::<_, Infallible>(response) }
         });
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -16,9 +16,9 @@
     sassafrasslip_core::{
         dispatch::{
             DatedSlowdown, DatedView, DurationEstimate, EraChange, FleetShare, GroupLoad, KnownEra,
-            LimitNews, PeerTable, RequestQuarantine, RequestRate, RetryAllowance, RosterChange,
-            RouteRule, RouteTable, Slowdown, StopPlan, StoreEra, StoreStamp, TargetDeparture,
-            TargetKey, TargetList, TargetRoster,
+            LimitNews, PeerInquiry, PeerTable, RequestQuarantine, RequestRate, RetryAllowance,
+            RosterChange, RouteRule, RouteTable, Slowdown, StopPlan, StoreEra, StoreStamp,
+            TargetDeparture, TargetKey, TargetList, TargetRoster,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, StoreAnswerOutdated, StoreEraAbandoned, StoreRestored,
@@ -52,10 +52,6 @@
 /// Uptime from which on a gateway counts as settled and is preferred as a placer.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 
-/// Number of peers that a gateway asks, after its start and after a restore of the store, which
-/// targets have left.
-const DEPARTURE_SOURCES: usize = 2;
-
 /// Value of the log key `source` for facts that this gateway has read from the report of a rank.
 pub const REPORT_SOURCE: &str = "report";
 
@@ -94,8 +90,10 @@
     pub configuration_era: Cell<StoreEra>,
     /// Era of the store in which it last held the configuration in force.
     pub document_era: Cell<StoreEra>,
-    /// Number of peers that are still to be asked which targets have left.
-    pub departures_due: Cell<usize>,
+    /// Peers that were asked since the store was restored.
+    pub inquiry: RefCell<PeerInquiry>,
+    /// Notified when there may be a peer to ask for the inquiry.
+    pub inquiry_due: Notify,
     /// Peer with a newer configuration than this gateway, and when it was first heard of.
     pub newer_peer: Cell<Option<(Ipv4Addr, Instant)>>,
     /// Consecutive failed calls to the store for the configuration.
@@ -182,7 +180,8 @@
             configured_at: Cell::new(None),
             configuration_era: Cell::default(),
             document_era: Cell::default(),
-            departures_due: Cell::new(DEPARTURE_SOURCES),
+            inquiry: RefCell::default(),
+            inquiry_due: Notify::new(),
             newer_peer: Cell::new(None),
             configuration_failures: Cell::new(0),
             list_failures: Cell::new(0),
@@ -357,6 +356,17 @@
         self.replace_listing(list, era, now, source);
     }
 
+    /// Records that a peer has said which targets have left.
+    pub fn note_inquiry_answer(&self, peer: Ipv4Addr, is_informed: bool) {
+        self.inquiry.borrow_mut().record_answer(peer, is_informed);
+    }
+
+    /// Returns whether this gateway can say which targets have left since the copy was made from
+    /// which the store was restored.
+    pub fn is_informed(&self, now: Instant) -> bool {
+        self.listed_at.get().is_some() && self.inquiry.borrow().is_informed(now)
+    }
+
     /// Records targets that a peer knows to be leaving or gone.
     pub fn note_departures(&self, departures: Vec<TargetDeparture>, now: Instant) {
         let changes = self.roster.borrow_mut().note_departures(departures, now);
@@ -365,12 +375,16 @@
 
     fn replace_listing(&self, list: TargetList, era: StoreEra, now: Instant, source: &'static str) {
         let previous = self.list_era.replace(era);
+        let is_first = self.listed_at.get().is_none();
+        if era.is_restored() && (is_first || era > previous) {
+            let knew_before = !is_first && previous.is_named();
+            self.inquiry.borrow_mut().begin(knew_before, Instant::now());
+            self.inquiry_due.notify_one();
+        }
         // The first list of an era may lack targets that joined after the copy from which the store
         // was restored.
         if previous.is_named() && era > previous {
             self.roster.borrow_mut().note_list_regained(now);
-            // A departure that was missed before the restore is not in the store anymore.
-            self.departures_due.set(DEPARTURE_SOURCES);
         }
         let changes = self.roster.borrow_mut().apply_list(list, now);
         self.listed_at.set(Some(now));
@@ -680,9 +694,13 @@
     }
 
     /// Returns whether the gateway has a configuration and knows targets, so that it can serve
-    /// requests.
-    pub fn can_serve(&self) -> bool {
-        self.table.borrow().is_some() && !self.roster.borrow().is_empty()
+    /// requests. After its start it waits for peers, if it has any, before it relies on a store that
+    /// may hold the content of a copy.
+    pub fn can_serve(&self, now: Instant) -> bool {
+        let has_peers = !self.options.seeds.is_empty() || self.peers.borrow().known().len() > 0;
+        self.table.borrow().is_some()
+            && !self.roster.borrow().is_empty()
+            && !(has_peers && self.inquiry.borrow().delays_start(now))
     }
 
     /// Returns the age of the instance list; the maximum duration if none was read.
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -176,6 +176,7 @@
             id: "i-0".to_owned(),
             started_at_ms: 4,
         }],
+        informed: true,
         ..snapshot()
     };
     snapshot.targets[0].unconfirmed = true;
