Prefer targets that have written again while no peer is informed

What callers saw: if all gateways start after the return of the store, none of them knows that a target has left, and it gets its full share of requests until its entry expires.

Cause: the choice of a target did not tell entries that were written since the return from those that may be of the copy.

Change: a gateway that has no informed answer of a peer sends requests to unconfirmed targets only if no confirmed one has room. Live targets write within a heartbeat, so that the load is uneven for about as long. Gateways that are informed spread requests as before.

--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -7,6 +7,9 @@
 //!
 //! Load pattern: a slow rank. Each request that it runs lengthens the passes of its whole group by a
 //! multiple, so that it gets none while another rank of the service is usable.
+//!
+//! Load pattern: all gateways start after the store was restored. A target that has left is in the
+//! copy until its entry expires, so that targets which have written since are preferred.
 
 use {
     super::{
@@ -98,7 +101,11 @@
             && !summary.is_full(target, input)
             && roster.admits(target, now)
     });
+    let free: Vec<_> = free.collect();
+    let has_certain = free.iter().any(|(_, target)| !roster.is_doubtful(target));
     let scored: Vec<_> = free
+        .into_iter()
+        .filter(|(_, target)| !(has_certain && roster.is_doubtful(target)))
         .map(|(key, target)| (key, score(target, input)))
         .collect();
     let best = scored
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -159,6 +159,8 @@
     listed_at: Option<Instant>,
     /// Services that the configuration names; `None` while there is no configuration.
     services: Option<HashSet<ServiceName>>,
+    /// Whether unconfirmed targets may have left without the knowledge of this gateway.
+    doubts_unconfirmed: bool,
 }
 
 impl TargetRoster {
@@ -356,6 +358,17 @@
         Some(entry)
     }
 
+    /// Sets whether unconfirmed targets may have left without the knowledge of this gateway, so that
+    /// others are preferred.
+    pub fn set_doubts_unconfirmed(&mut self, doubts: bool) {
+        self.doubts_unconfirmed = doubts;
+    }
+
+    /// Returns whether a target may have left without the knowledge of this gateway.
+    pub fn is_doubtful(&self, target: &DirectTarget) -> bool {
+        self.doubts_unconfirmed && target.is_unconfirmed
+    }
+
     /// Returns the incarnations that this gateway knows to be leaving or gone.
     pub fn departures(&self) -> impl Iterator<Item = TargetDeparture> {
         let leaving = self.targets.values().filter(|target| !target.takes_work());
--- a/crates/core/tests/store_history.rs
+++ b/crates/core/tests/store_history.rs
@@ -3,11 +3,15 @@
 
 use {
     sassafrasslip_core::dispatch::{
-        EraChange, KnownEra, ListHistory, RosterChange, StoreEra, StoreStamp, TargetDeparture,
-        TargetEntry, TargetList, TargetRoster, TargetState, store_history::CONFIRMATION_LIMIT,
+        ChoiceInput, EraChange, FleetShare, KnownEra, ListHistory, RosterChange, StoreEra,
+        StoreStamp, TargetChoice, TargetDeparture, TargetEntry, TargetList, TargetRoster,
+        TargetState, choose_target, store_history::CONFIRMATION_LIMIT,
     },
     sassafrasslip_testkit::test_cases,
-    std::{collections::HashSet, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -251,6 +255,62 @@
     assert!(roster.find_target("left").unwrap().takes_work());
 }
 
+fn choose(roster: &TargetRoster, now: Instant, draw: f64) -> TargetChoice {
+    let input = ChoiceInput {
+        service: &"orders".parse().unwrap(),
+        own_zone: &"ruwi".parse().unwrap(),
+        tried: &[],
+        group_limits: &HashMap::new(),
+        draw,
+    };
+    choose_target(roster, &input, now)
+}
+
+fn doubtful_roster(now: Instant) -> TargetRoster {
+    let mut roster = TargetRoster::default();
+    let mut list = unconfirmed(vec![entry("old", 5), entry("renewed", 5)]);
+    list.unconfirmed.remove("renewed");
+    roster.apply_list(list, now);
+    roster.set_doubts_unconfirmed(true);
+    roster
+}
+
+const DRAWS: [f64; 4] = [0.0, 0.3, 0.6, 0.9];
+
+#[test]
+fn gateway_without_informed_peers_prefers_targets_that_have_written_again() {
+    let now = Instant::now();
+    let mut roster = doubtful_roster(now);
+    let (old, renewed) = (roster.find("old").unwrap(), roster.find("renewed").unwrap());
+    let share = FleetShare {
+        gateways: 1,
+        draw: 0.5,
+    };
+    for _ in 0..4 {
+        for draw in DRAWS {
+            assert_eq!(choose(&roster, now, draw), TargetChoice::Chosen(renewed));
+        }
+        roster.record_start(renewed, share, now);
+    }
+    // The other target is better than none.
+    assert_eq!(choose(&roster, now, 0.5), TargetChoice::Chosen(old));
+}
+
+#[test]
+fn informed_gateway_spreads_requests_over_all_targets() {
+    let now = Instant::now();
+    let mut roster = doubtful_roster(now);
+    roster.set_doubts_unconfirmed(false);
+    let chosen: Vec<_> = DRAWS.map(|draw| choose(&roster, now, draw)).into();
+    for id in ["old", "renewed"] {
+        let key = roster.find(id).unwrap();
+        assert!(
+            chosen.contains(&TargetChoice::Chosen(key)),
+            "{id}: {chosen:?}"
+        );
+    }
+}
+
 #[test]
 fn entry_of_a_store_that_was_never_restored_is_confirmed() {
     let now = Instant::now();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -359,6 +359,13 @@
     /// Records that a peer has said which targets have left.
     pub fn note_inquiry_answer(&self, peer: Ipv4Addr, is_informed: bool) {
         self.inquiry.borrow_mut().record_answer(peer, is_informed);
+        self.review_doubts();
+    }
+
+    fn review_doubts(&self) {
+        let is_informed = self.inquiry.borrow().is_informed(Instant::now());
+        let mut roster = self.roster.borrow_mut();
+        roster.set_doubts_unconfirmed(!is_informed);
     }
 
     /// Returns whether this gateway can say which targets have left since the copy was made from
@@ -379,6 +386,7 @@
         if era.is_restored() && (is_first || era > previous) {
             let knew_before = !is_first && previous.is_named();
             self.inquiry.borrow_mut().begin(knew_before, Instant::now());
+            self.review_doubts();
             self.inquiry_due.notify_one();
         }
         // The first list of an era may lack targets that joined after the copy from which the store
