Poll the peers of a cut off gateway in turn

A gateway that cannot reach the store and whose first two peers cannot either gets no list of targets, although another peer reads the store.

Cause: the two peers were the first ones of a hash table, whose order stays the same as long as the peers do.

Change: successive polls go through all live peers, two each time.

--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -149,6 +149,20 @@
         live.map(|(address, _)| *address)
     }
 
+    /// Returns up to `count` live peers to poll in a round. Successive rounds reach all peers in
+    /// turn, since some of them may be cut off as well.
+    pub fn polled(&self, round: usize, count: usize, now: Instant) -> Vec<Ipv4Addr> {
+        let mut live: Vec<_> = self.live(now).collect();
+        live.sort_unstable();
+        if !live.is_empty() {
+            let rounds = live.len().div_ceil(count.max(1));
+            let first = round % rounds * count;
+            live.rotate_left(first);
+            live.truncate(count);
+        }
+        live
+    }
+
     /// Returns the addresses of the live peers that accept requests.
     pub fn serving(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
         let live = self
--- a/crates/core/tests/peer_inquiry.rs
+++ b/crates/core/tests/peer_inquiry.rs
@@ -3,9 +3,10 @@
 
 use {
     sassafrasslip_core::dispatch::{
-        PeerInquiry, peer_inquiry::START_WAIT, store_history::CONFIRMATION_LIMIT,
+        PeerInquiry, PeerReport, PeerTable, peer_inquiry::START_WAIT,
+        store_history::CONFIRMATION_LIMIT,
     },
-    std::net::Ipv4Addr,
+    std::{collections::HashSet, net::Ipv4Addr, time::Duration},
     tokio::time::Instant,
 };
 
@@ -67,3 +68,29 @@
     assert!(!inquiry.is_open(now + CONFIRMATION_LIMIT));
     assert!(inquiry.is_informed(now + CONFIRMATION_LIMIT));
 }
+
+#[test]
+fn peers_are_polled_in_turn() {
+    let now = Instant::now();
+    let mut table = PeerTable::default();
+    for address in peers(5) {
+        let report = PeerReport {
+            incarnation: 1,
+            sequence: 1,
+            availability_zone: None,
+            loads: Vec::new(),
+            leaving: false,
+            settled: true,
+            interval: Duration::from_millis(100),
+        };
+        table.record(address, report, now);
+    }
+    for first in [0, 1, 7, 1000] {
+        let rounds = (0..3).map(|round| table.polled(first + round, 2, now));
+        let rounds: Vec<_> = rounds.collect();
+        assert!(rounds.iter().all(|round| round.len() == 2), "{rounds:?}");
+        let polled: HashSet<_> = rounds.concat().into_iter().collect();
+        assert_eq!(polled, peers(5).collect(), "{first}");
+    }
+    assert_eq!(table.polled(3, 8, now).len(), 5);
+}
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -544,6 +544,8 @@
     let limit = state.options.configuration_limit;
     let interval = SNAPSHOT_INTERVAL.min(limit.mul_f64(SNAPSHOT_INTERVAL_SHARE));
     let mut next_poll = Instant::now() + interval;
+    // Gateways that are cut off together do not all poll the same peers.
+    let mut round: usize = rand::random_range(0..usize::from(u16::MAX));
     loop {
         let is_poll = tokio::select! {
             () = sleep_until(next_poll) => true,
@@ -560,7 +562,8 @@
                 polled.push(address);
             }
             if state.table().is_none() || state.list_age(now) >= LIST_AGE_LIMIT {
-                polled.extend(state.peers.borrow().live(now).take(POLLED_PEERS));
+                polled.extend(state.peers.borrow().polled(round, POLLED_PEERS, now));
+                round = round.wrapping_add(1);
             }
         }
         fetch_snapshots(&state, polled).await;
