Use the list of a peer whose configuration cannot be decoded

What callers saw: nothing directly; a gateway whose zone reader has a configuration that cannot be decoded here reads the store itself every 600 ms, and has no list while it cannot reach the store.

Evidence: list_of_a_reader_whose_configuration_cannot_be_decoded_is_used fails on: a target that only the reader lists gets no request.

Change: the list, the departures and the eras are used; the age of the configuration is not, as it is that of another one. Event 4013 names the peer, once for each document.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -94,6 +94,7 @@
     4010 TableApplied Info "configuration revision in force";
     4011 TableRejected Warn "configuration document is invalid";
     4012 TableOutdated Warn "older configuration ignored";
+    4013 PeerTableRejected Warn "configuration of a peer is invalid";
     5001 PlacementDecided Info "placement decision";
     5002 MapChangeStarted Info "expert map change started";
     5003 MapChangeCommitted Info "expert map change committed";
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -668,17 +668,24 @@
     // revoked. A gateway without a configuration accepts it only if the store cannot be reached from
     // here either. For others, a newer one is better than the one in force: a store restored from a
     // copy may hold an older one than the peers.
+    let mut is_document_current = true;
     let is_stuck = state.configuration_failures.get() >= FAILURES_FOR_STALE_DATA;
     if !snapshot.document.is_empty() && (is_current || is_stuck || state.table().is_some()) {
-        let step = PeerStep::Decode;
-        let table = decode_configuration(&snapshot.document);
-        let table = table.change_context(PeerError { step, peer })?;
-        let document_era = believed(snapshot.document_era);
-        state.apply_table(table, snapshot.document, document_era, "peer");
+        match decode_configuration(&snapshot.document) {
+            Ok(table) => {
+                let document_era = believed(snapshot.document_era);
+                state.apply_table(table, snapshot.document, document_era, "peer");
+            }
+            Err(report) => {
+                state.note_rejected_document(peer, &snapshot.document, &report);
+                is_document_current = false;
+            }
+        }
     }
     let ago = |age_ms| requested_at.checked_sub(Duration::from_millis(age_ms));
     let configured_at = ago(snapshot.configuration_age_ms);
-    if known_era.covers(configuration_era) && configured_at > state.configured_at.get() {
+    let is_confirmed = is_document_current && known_era.covers(configuration_era);
+    if is_confirmed && configured_at > state.configured_at.get() {
         state.configured_at.set(configured_at);
         state.configuration_era.set(configuration_era);
     }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -13,6 +13,7 @@
     },
     crate::options::{GatewayOptions, InstanceOptions},
     bytes::Bytes,
+    error_stack::Report,
     sassafrasslip_core::{
         dispatch::{
             DatedSlowdown, DatedView, DurationEstimate, EraChange, FleetShare, GroupLoad, KnownEra,
@@ -21,9 +22,9 @@
             TargetDeparture, TargetKey, TargetList, TargetRoster,
         },
         events::LogEvent::{
-            GroupChanged, GroupForming, StoreAnswerOutdated, StoreEraAbandoned, StoreRestored,
-            TableApplied, TableOutdated, TargetEjected, TargetHeldOff, TargetLeft, TargetLimited,
-            TargetListed, TargetRecovered, TargetSlow, TargetUnlimited,
+            GroupChanged, GroupForming, PeerTableRejected, StoreAnswerOutdated, StoreEraAbandoned,
+            StoreRestored, TableApplied, TableOutdated, TargetEjected, TargetHeldOff, TargetLeft,
+            TargetLimited, TargetListed, TargetRecovered, TargetSlow, TargetUnlimited,
         },
         ids::{GroupName, ServiceName, ZoneName},
         log_event,
@@ -33,7 +34,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
-        net::{IpAddr, Ipv4Addr},
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         rc::Rc,
     },
     tokio::{
@@ -41,6 +42,7 @@
         time::{Duration, Instant},
     },
     tokio_util::sync::CancellationToken,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Weight of the newest sample in the moving average of the time to the first answer.
@@ -129,6 +131,8 @@
     /// Time that callers have for the next request on their connections.
     pub head_timeout: HeadTimeout,
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// Hash of the latest document of a peer that could not be decoded.
+    rejected_document: Cell<u64>,
     allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Moving average, by service, of the time from the first attempt to the first event or the
     /// complete response.
@@ -183,6 +187,7 @@
             inquiry: RefCell::default(),
             inquiry_due: Notify::new(),
             newer_peer: Cell::new(None),
+            rejected_document: Cell::new(0),
             configuration_failures: Cell::new(0),
             list_failures: Cell::new(0),
             peers: RefCell::default(),
@@ -337,6 +342,16 @@
         true
     }
 
+    /// Logs that the configuration of a peer cannot be decoded, unless it is the one that was logged
+    /// last.
+    pub fn note_rejected_document<E>(&self, peer: SocketAddr, document: &Bytes, error: &Report<E>) {
+        let hash = xxh3_64(document);
+        if self.rejected_document.replace(hash) != hash {
+            let error = crate::describe(error);
+            log_event!(PeerTableRejected, peer = peer, error = error);
+        }
+    }
+
     /// Replaces the list of targets by one that was read at `now` in the era `era`.
     pub fn apply_listing(
         &self,
