Ask a peer only once for a configuration that cannot be used

What callers saw: nothing; a gateway that cannot decode a newer configuration of a peer asked for it in every second interval, without an end.

Cause: nothing was kept of the failure, and each load report of the peer announced the configuration again.

Evidence: peer_with_a_configuration_that_cannot_be_decoded_is_not_asked_again_and_again fails on: the peer answers 4 more requests within 4 s.

Change: the gateway keeps, for each peer, the rank (revision and era) of the configuration that was of no use, and ignores reports of it. A later one is asked for as before.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -9,7 +9,7 @@
 use {
     super::{
         part_news,
-        state::{GatewayState, ipv4},
+        state::{GatewayState, NewerPeer, ipv4},
     },
     crate::listen,
     bytes::{Bytes, BytesMut},
@@ -204,6 +204,7 @@
 fn remove_silent_peers(state: &GatewayState, now: Instant) {
     let gone = state.peers.borrow_mut().forget_silent(now);
     for address in gone {
+        state.refused_ranks.borrow_mut().remove(&address);
         log_event!(PeerChanged, peer = address, state = "gone");
     }
     state.drop_outdated_crashes(now);
@@ -385,8 +386,14 @@
 fn note_configuration(state: &GatewayState, address: Ipv4Addr, report: &LoadReport, now: Instant) {
     let era = StoreEra::from_value(report.document_era);
     let rank = (report.revision, state.known_era.get().believed(era));
-    if rank > state.configuration_rank() && state.newer_peer.get().is_none() {
-        state.newer_peer.set(Some((address, now)));
+    let is_refused = state.refused_ranks.borrow().get(&address) == Some(&rank);
+    let is_newer = rank > state.configuration_rank() && !is_refused;
+    if is_newer && state.newer_peer.get().is_none() {
+        state.newer_peer.set(Some(NewerPeer {
+            address,
+            rank,
+            heard_at: now,
+        }));
     }
 }
 
@@ -556,10 +563,10 @@
         if is_poll {
             next_poll = now + interval;
             let newer = state.newer_peer.get();
-            let newer = newer.filter(|(_, heard_at)| now >= *heard_at + interval);
-            if let Some((address, _)) = newer {
+            let newer = newer.filter(|peer| now >= peer.heard_at + interval);
+            if let Some(peer) = newer {
                 state.newer_peer.set(None);
-                polled.push(address);
+                ask_newer_peer(&state, peer).await;
             }
             if state.table().is_none() || state.list_age(now) >= LIST_AGE_LIMIT {
                 polled.extend(state.peers.borrow().polled(round, POLLED_PEERS, now));
@@ -571,6 +578,26 @@
     }
 }
 
+/// Asks a peer for its newer configuration. A peer whose configuration cannot be used here is not
+/// asked for the same one again.
+async fn ask_newer_peer(state: &GatewayState, newer: NewerPeer) {
+    let peer = SocketAddr::from((newer.address, state.options.peer_address.port()));
+    let fetched = fetch_snapshot(state, peer).await;
+    let was_answered = match &fetched {
+        Ok(()) => true,
+        Err(report) => report.current_context().step == PeerStep::Decode,
+    };
+    // Without a configuration, one that is not current may be refused now and accepted later.
+    let is_useless = state.table().is_some() && state.configuration_rank() < newer.rank;
+    if was_answered && is_useless {
+        let mut refused = state.refused_ranks.borrow_mut();
+        refused.insert(newer.address, newer.rank);
+    }
+    if let Err(report) = fetched {
+        log::debug!("{}", crate::describe(&report));
+    }
+}
+
 /// Asks peers which targets have left, as long as the inquiry needs more answers.
 async fn ask_peers(state: &GatewayState) {
     let mut asked = Vec::new();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -57,6 +57,20 @@
 /// Value of the log key `source` for facts that this gateway has read from the report of a rank.
 pub const REPORT_SOURCE: &str = "report";
 
+/// Revision of a configuration and the era of the store that last held it; a greater pair is newer.
+pub type ConfigurationRank = (u64, StoreEra);
+
+/// Peer that has reported a newer configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct NewerPeer {
+    /// Address of the peer.
+    pub address: Ipv4Addr,
+    /// Rank of its configuration.
+    pub rank: ConfigurationRank,
+    /// When it was first heard of.
+    pub heard_at: Instant,
+}
+
 /// Shared state of a gateway: settings, known targets and peers, queues and limits.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -96,8 +110,10 @@
     pub inquiry: RefCell<PeerInquiry>,
     /// Notified when there may be a peer to ask for the inquiry.
     pub inquiry_due: Notify,
-    /// Peer with a newer configuration than this gateway, and when it was first heard of.
-    pub newer_peer: Cell<Option<(Ipv4Addr, Instant)>>,
+    /// Peer with a newer configuration than this gateway.
+    pub newer_peer: Cell<Option<NewerPeer>>,
+    /// By peer, the rank of its configuration that cannot be used here.
+    pub refused_ranks: RefCell<HashMap<Ipv4Addr, ConfigurationRank>>,
     /// Consecutive failed calls to the store for the configuration.
     pub configuration_failures: Cell<u32>,
     /// Consecutive failed calls to the store for the instance list.
@@ -187,6 +203,7 @@
             inquiry: RefCell::default(),
             inquiry_due: Notify::new(),
             newer_peer: Cell::new(None),
+            refused_ranks: RefCell::default(),
             rejected_document: Cell::new(0),
             configuration_failures: Cell::new(0),
             list_failures: Cell::new(0),
@@ -221,7 +238,7 @@
     }
 
     /// Returns the revision and the era of the configuration in force; a greater pair is newer.
-    pub fn configuration_rank(&self) -> (u64, StoreEra) {
+    pub fn configuration_rank(&self) -> ConfigurationRank {
         let revision = self.table.borrow().as_ref().map(|table| table.revision);
         (revision.unwrap_or_default(), self.document_era.get())
     }
