Keep departures timely when the era of a peer is given up

What callers saw: a target that leaves within 2.2 s after a gateway has given up an era that only a peer had named gets requests for up to 2.2 s.

Cause: giving up an era kept missing targets for the time in which entries may come back, as after an outage. That is needed for a store that was set up anew, not for a wrong claim.

Change: the time applies only if the store itself had named the era.

--- a/crates/core/src/dispatch/store_history.rs
+++ b/crates/core/src/dispatch/store_history.rs
@@ -94,6 +94,11 @@
         self.era.unwrap_or_default()
     }
 
+    /// Returns whether the store itself has named the era to this gateway.
+    pub fn is_observed(self) -> bool {
+        self.is_observed
+    }
+
     /// Records the era of the answer to a call that began at `asked_at`. An answer without an era is
     /// of the known one.
     ///
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -248,6 +248,7 @@
     pub fn note_stamp(&self, stamp: StoreStamp, asked_at: Instant) -> Option<StoreStamp> {
         let now = Instant::now();
         let mut known = self.known_era.get();
+        let was_observed = known.is_observed();
         let change = known.record_answer(stamp.era, asked_at, now);
         self.known_era.set(known);
         self.note_era_change(change, "store");
@@ -267,8 +268,10 @@
                 for named in [&self.list_era, &self.configuration_era, &self.document_era] {
                     named.set(named.get().min(era));
                 }
-                // Targets may not have written their entries to the store yet.
-                self.roster.borrow_mut().note_list_regained(now);
+                if was_observed {
+                    // Targets may not have written their entries to a new store yet.
+                    self.roster.borrow_mut().note_list_regained(now);
+                }
             }
             EraChange::Same | EraChange::Restored(_) => {}
         }
