Close idle connections of callers when new ones wait

What callers saw: with 2,048 connections open, a further one was not read until one of them closed, also if all of them were idle. Nothing told of it. The caller leaves after a second and retries once.

Cause: the accept loop waited for a permit before it accepted, and idle connections held theirs until their idle timeout.

Change: a connection that finds no slot has the one closed that has been idle for the longest time, half a second at least; answers announce the close while connections wait. Event 3009 and the metrics gateway_caller_connections and gateway_closed_idle_connections show it. A connection that waits for a slot is kept across the start of a planned stop.

Evidence: request_beyond_the_connection_limit_is_answered failed on the build before ("request is not read: Elapsed", bound 1 s) and passes now.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -82,6 +82,7 @@
     3006 PartReleased Info "prompt part that was refused is accepted again";
     3007 RequestQuarantined Warn "request that crashes targets is refused";
     3008 RequestReleased Info "request that was refused is accepted again";
+    3009 CallerLimitReached Warn "connections of callers have reached their limit";
     4001 RevisionApplied Info "configuration revision applied";
     4002 RevisionIgnored Warn "older configuration revision ignored";
     4003 ChangeAccepted Info "configuration change accepted";
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -1,12 +1,14 @@
 //! Accepts connections from callers, serves HTTP on them, and closes them when the gateway stops.
 
 use {
-    super::{channels::describe_exchange, head_timer::HeadTimer, request, state::GatewayState},
-    crate::{
-        constants::{CALLER_WRITE_TIMEOUT, MAX_CALLER_CONNECTIONS},
-        entry::callers::stall::StallGuard,
-        listen,
+    super::{
+        caller_slots::{CallerSlot, CallerSlots, TrackedBody},
+        channels::describe_exchange,
+        head_timer::HeadTimer,
+        request,
+        state::GatewayState,
     },
+    crate::{constants::CALLER_WRITE_TIMEOUT, entry::callers::stall::StallGuard, listen},
     http::{HeaderValue, header::CONNECTION},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -21,12 +23,10 @@
         convert::Infallible,
         pin::pin,
         rc::Rc,
-        sync::Arc,
         time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore},
         time::{Instant, sleep, sleep_until, timeout, timeout_at},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -42,16 +42,17 @@
 /// Accepts connections until the deregistration delay after the stop signal has passed, then waits
 /// for the requests in flight, at most until shortly before the supervisor kills the process.
 pub async fn serve(state: Rc<GatewayState>, listener: TcpListener, draining: CancellationToken) {
-    let connections = Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS));
+    let slots = CallerSlots::new(state.metrics.clone());
     let closing = CancellationToken::new();
     let tasks = TaskTracker::new();
+    let mut accepted = None;
     tokio::select! {
-        () = accept(&state, &listener, &connections, &closing, &tasks) => {}
+        () = accept(&state, &listener, &mut accepted, &slots, &closing, &tasks) => {}
         () = deregistration_delay_passed(&draining) => {}
     }
     // Dropping the listener resets the connections that the kernel has already accepted into the
     // backlog, so they are taken over first.
-    let accepting = accept(&state, &listener, &connections, &closing, &tasks);
+    let accepting = accept(&state, &listener, &mut accepted, &slots, &closing, &tasks);
     let _ = timeout(BACKLOG_ACCEPT_TIMEOUT, accepting).await;
     drop(listener);
     closing.cancel();
@@ -74,26 +75,29 @@
     sleep(DEREGISTRATION_DELAY).await;
 }
 
+/// Accepts connections without end. One that waits for a slot is in `accepted` meanwhile, so that it
+/// is not lost when this future is dropped.
 async fn accept(
     state: &Rc<GatewayState>,
     listener: &TcpListener,
-    connections: &Arc<Semaphore>,
+    accepted: &mut Option<TcpStream>,
+    slots: &Rc<CallerSlots>,
     closing: &CancellationToken,
     tasks: &TaskTracker,
 ) {
-    while let Ok(permit) = Arc::clone(connections).acquire_owned().await {
-        let (stream, _) = listen::accept(listener, "caller_address").await;
-        let (state, closing) = (Rc::clone(state), closing.clone());
-        tasks.spawn_local(serve_connection(state, stream, closing, permit));
+    loop {
+        if accepted.is_none() {
+            let (stream, _) = listen::accept(listener, "caller_address").await;
+            *accepted = Some(stream);
+        }
+        let slot = slots.acquire(closing).await;
+        if let Some(stream) = accepted.take() {
+            tasks.spawn_local(serve_connection(Rc::clone(state), stream, slot));
+        }
     }
 }
 
-async fn serve_connection(
-    state: Rc<GatewayState>,
-    stream: TcpStream,
-    closing: CancellationToken,
-    _permit: OwnedSemaphorePermit,
-) {
+async fn serve_connection(state: Rc<GatewayState>, stream: TcpStream, slot: CallerSlot) {
     let _ = stream.set_nodelay(true);
     let head_timeout = state.head_timeout.clone();
     let stream = StallGuard::new(stream, CALLER_WRITE_TIMEOUT);
@@ -101,22 +105,25 @@
     let seen = Rc::clone(&has_request);
     let open_request = OpenRequest::new(Rc::clone(&state));
     let open = Rc::clone(&open_request.opened);
+    let connection_usage = slot.usage();
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
         seen.set(true);
         let opened = (request_id(&request), Instant::now());
         open.replace(Some(opened));
         let open = Rc::clone(&open);
+        let connection_usage = connection_usage.clone();
+        let usage = connection_usage.begin_request();
         async move {
             let mut response = request::serve(Rc::clone(&state), request).await;
             // Announcing the close in the response keeps the caller from sending another request
             // that would cross the close of the connection.
-            if state.leaving.get() {
+            if state.leaving.get() || connection_usage.is_full() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
             open.take();
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, usage)))
         }
     });
     let connection = http1::Builder::new()
@@ -126,7 +133,7 @@
     let mut connection = pin!(connection);
     tokio::select! {
         ended = connection.as_mut() => return open_request.finish(ended),
-        () = closing.cancelled() => {}
+        () = slot.closing.cancelled() => {}
     }
     if !has_request.get() {
         let first_request = timeout(FIRST_REQUEST_GRACE, connection.as_mut());
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -38,6 +38,10 @@
     pub retries: Counter,
     /// Requests whose connection ended before the head of an answer was sent.
     pub unanswered: Counter,
+    /// Open connections of callers.
+    pub connections: Gauge,
+    /// Idle connections of callers that were closed because new ones waited.
+    pub closed_idle: Counter,
     /// Streams that were resumed at another target.
     pub moved_streams: Counter,
     /// Ejections of targets after failures.
@@ -75,6 +79,8 @@
             waits: duration_histogram(),
             retries: Counter::default(),
             unanswered: Counter::default(),
+            connections: Gauge::default(),
+            closed_idle: Counter::default(),
             moved_streams: Counter::default(),
             ejections: Counter::default(),
             channels: Counter::default(),
@@ -113,6 +119,18 @@
                 "Requests whose connection ended before the head of an answer",
                 unanswered,
             );
+            let connections = metrics.connections.clone();
+            registry.register(
+                "gateway_caller_connections",
+                "Open connections of callers",
+                connections,
+            );
+            let closed = metrics.closed_idle.clone();
+            registry.register(
+                "gateway_closed_idle_connections",
+                "Idle connections of callers that were closed to make room",
+                closed,
+            );
             registry.register(
                 "gateway_moved_streams",
                 "Streams that were resumed at another target",
