Bound the size of crashes in load reports

Gateways that have seen many crashes send load reports that peers cannot decode (2009): 13,256 bytes for 32 crashes beside 12 requests each, 21,156 if most of these were sound, 26,536 for 64 crashes. Peers receive datagrams of up to 16 kB whole, so that they would count neither the loads nor the crashes of the sender.

Each list in a report has its limit, but their product is above that of the datagram.

Change: of the crashes and of the answers, a report tells the latest ones up to 3 kB and 1 kB of each kind. Peers have received the older ones before, with the reports of that time.

--- a/crates/daemon/src/gateway/part_news.rs
+++ b/crates/daemon/src/gateway/part_news.rs
@@ -5,6 +5,7 @@
         peers::{age_ms, time_of},
         state::GatewayState,
     },
+    prost::Message,
     sassafrasslip_core::dispatch::{
         CrashId, CrashReport, PartChange, PartProof, PartQuarantine, PromptPart, QuarantinedPart,
         RequestChange, RequestQuarantine,
@@ -18,6 +19,16 @@
 /// Value of the log key `source` for what a peer has reported.
 const PEER_SOURCE: &str = "peer";
 
+/// Largest size of the crashes of one kind in a report, in bytes. Peers receive datagrams up to 16 kB
+/// whole, and a report that is cut off cannot be decoded.
+const MAX_CRASH_BYTES: usize = 3 * 1024;
+
+/// Largest size of the answers of one kind in a report, in bytes.
+const MAX_PROOF_BYTES: usize = 1024;
+
+/// Largest size of the key and the length of a record in a report, in bytes.
+const RECORD_OVERHEAD: usize = 4;
+
 /// Returns a report that has only what this gateway knows of crashes.
 pub fn encode(quarantine: &RequestQuarantine, now: Instant) -> LoadReport {
     let RequestQuarantine { parts, wholes } = quarantine;
@@ -34,16 +45,33 @@
         age_ms: age_ms(report.at, now),
     });
     LoadReport {
-        crashes: crashes.collect(),
+        crashes: latest(crashes, |record| record.age_ms, MAX_CRASH_BYTES),
         proofs: proof_records(parts, now),
         quarantined: quarantine_records(parts, now),
-        request_crashes: request_crashes.collect(),
+        request_crashes: latest(request_crashes, |record| record.age_ms, MAX_CRASH_BYTES),
         request_proofs: proof_records(wholes, now),
         quarantined_requests: quarantine_records(wholes, now),
         ..LoadReport::default()
     }
 }
 
+/// Returns the latest records that take at most `limit` bytes of a report. Peers have received the
+/// older ones before.
+fn latest<R: Message>(
+    records: impl Iterator<Item = R>,
+    age_ms: impl Fn(&R) -> u32,
+    limit: usize,
+) -> Vec<R> {
+    let mut records: Vec<_> = records.collect();
+    records.sort_by_key(age_ms);
+    let mut length = 0;
+    let fits = |record: &R| {
+        length += record.encoded_len() + RECORD_OVERHEAD;
+        length <= limit
+    };
+    records.into_iter().take_while(fits).collect()
+}
+
 fn hashes(parts: &[PromptPart]) -> Vec<u64> {
     parts.iter().map(|part| part.hash()).collect()
 }
@@ -53,7 +81,7 @@
         part: proof.part.hash(),
         age_ms: age_ms(proof.at, now),
     });
-    proofs.collect()
+    latest(proofs, |record| record.age_ms, MAX_PROOF_BYTES)
 }
 
 fn quarantine_records(quarantine: &PartQuarantine, now: Instant) -> Vec<QuarantineRecord> {
