Keep the number of incidents of a quarantined part in range

A peer that reports the highest number of incidents of a part made a debug build panic at the next crash, and a release build begin again at 0, so that the part was refused for the shortest time.

Change: the number saturates.

Evidence: crash_by_a_part_with_the_highest_number_of_incidents panicked before and passes now.

--- a/crates/core/src/dispatch/part_quarantine.rs
+++ b/crates/core/src/dispatch/part_quarantine.rs
@@ -22,8 +22,8 @@
 /// several seconds of the work of a whole group, which is more than the requests with one new part.
 const SUSPECT_HOLD: Duration = Duration::from_secs(30);
 
-/// Time for which requests are refused whose part is one of several suspects, or was only waiting. It is longer than
-/// [`INCIDENT_GAP`], so that a crash by a trial request counts as another incident.
+/// Time for which requests are refused whose part is one of several suspects, or was only waiting. It
+/// is longer than [`INCIDENT_GAP`], so that a crash by a trial request counts as another incident.
 const SHARED_HOLD: Duration = Duration::from_secs(2);
 
 /// Time for which requests with a quarantined part are refused after the second crash. It doubles
@@ -600,7 +600,7 @@
                     && at > known.crashed_at + INCIDENT_GAP
                 {
                     known.crashed_at = at;
-                    known.incidents += 1;
+                    known.incidents = known.incidents.saturating_add(1);
                     changes.push(PartChange::Quarantined(*known));
                 }
             }
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -270,3 +270,20 @@
     fn check_bound(count: u32);
     many_parts_and_crashes_stay_bounded: (5_000);
 }
+
+/// Guards against a gateway that ends because a peer has reported a number of incidents that cannot
+/// be.
+#[test]
+fn crash_by_a_part_with_the_highest_number_of_incidents() {
+    let start = Instant::now();
+    let deadly = part("deadly");
+    let mut quarantine = PartQuarantine::default();
+    let news = QuarantinedPart {
+        part: deadly,
+        crashed_at: start,
+        incidents: u32::MAX,
+    };
+    quarantine.note_quarantined(news, start);
+    let changes = quarantine.record_crash(crash(1), &[deadly], start + SECOND * 5);
+    assert!(matches!(changes.as_slice(), [PartChange::Quarantined(_)]));
+}
