--- a/crates/core/src/dispatch/part_quarantine.rs
+++ b/crates/core/src/dispatch/part_quarantine.rs
@@ -281,6 +281,7 @@
         if let Some(crash) = self.crashes.get_mut(&report.crash) {
             add_bounded(&mut crash.own_waiting, parts, MAX_WAITING);
         }
+        // With [`WaitingRule::Send`], parts that are near one crash only are not refused.
         let changes_holds = self.waiting_rule == WaitingRule::Try
             || parts.iter().any(|part| self.is_near_another(*part, crash));
         if changes_holds {
