Log the use of the retry budget and the gateways that share it

Cause: the lines of a failed attempt did not say how much of its part of the retry budget a gateway had used, nor by how many gateways it divided the budget, so that a forgotten count could not be told from a wrong number of gateways.

Change: event 2021 has retries, retry_limit and gateways.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -53,7 +53,7 @@
     request_quarantine::{
         CrashEvidence, RequestChange, RequestQuarantine, RequestRestriction, RequestTraits,
     },
-    retry_allowance::RetryAllowance,
+    retry_allowance::{RetryAllowance, RetryStatus},
     route_table::{
         CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule,
         RouteTable, ServiceRule, TeamRule,
--- a/crates/core/src/dispatch/retry_allowance.rs
+++ b/crates/core/src/dispatch/retry_allowance.rs
@@ -9,6 +9,15 @@
 /// starts or stops, while not every gateway knows their number yet.
 const SAFETY_SHARE: f64 = 0.8;
 
+/// Use of a retry budget within the window that ends now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryStatus {
+    /// Retries that were taken from the budget.
+    pub used: usize,
+    /// Number of retries up to which the budget grants more.
+    pub allowed: f64,
+}
+
 /// Retry budget of one service in a sliding window: a share of the requests plus a fixed allowance.
 /// The gateways divide the allowance evenly among themselves without coordination.
 #[derive(Debug)]
@@ -38,14 +47,23 @@
         self.first_tries.push_back(now);
     }
 
-    /// Takes one retry from the budget if there is one left, and returns whether there was.
-    /// `gateways` is the number of gateways that share the fixed allowance.
-    pub fn try_spend(&mut self, gateways: u32, now: Instant) -> bool {
+    /// Returns the use of the budget. `gateways` is the number of gateways that share the fixed
+    /// allowance.
+    pub fn status(&mut self, gateways: u32, now: Instant) -> RetryStatus {
         drop_expired(&mut self.first_tries, self.window, now);
         drop_expired(&mut self.retries, self.window, now);
         let fixed_part = self.fixed / f64::from(gateways.max(1));
-        let allowed = (self.ratio * self.first_tries.len() as f64 + fixed_part) * SAFETY_SHARE;
-        let is_allowed = (self.retries.len() as f64) + 1.0 <= allowed;
+        RetryStatus {
+            used: self.retries.len(),
+            allowed: (self.ratio * self.first_tries.len() as f64 + fixed_part) * SAFETY_SHARE,
+        }
+    }
+
+    /// Takes one retry from the budget if there is one left, and returns whether there was.
+    /// `gateways` is the number of gateways that share the fixed allowance.
+    pub fn try_spend(&mut self, gateways: u32, now: Instant) -> bool {
+        let status = self.status(gateways, now);
+        let is_allowed = status.used as f64 + 1.0 <= status.allowed;
         if is_allowed {
             self.retries.push_back(now);
         }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -565,6 +565,7 @@
         };
         let next = decide_next_step(error.failure, &context);
         let name = target.and_then(|key| self.target_name(key));
+        let retries = self.state.retry_status(&self.service, now);
         log_event!(
             AttemptFailed,
             request_id = self.request_id(),
@@ -583,6 +584,9 @@
                 .as_ref()
                 .map_or("", |team| team.name.as_str()),
             cause = error.faulty_target.as_deref().unwrap_or_default(),
+            retries = retries.used,
+            retry_limit = format_args!("{:.1}", retries.allowed),
+            gateways = self.state.retry_sharers(now),
             next = format_args!("{next:?}")
         );
         match next {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -149,7 +149,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Hash of the latest document of a peer that could not be decoded.
     rejected_document: Cell<u64>,
-    allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
+    /// Retry budgets by service.
+    pub(super) allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
     /// Moving average, by service, of the time from the first attempt to the first event or the
     /// complete response.
     first_answers: RefCell<HashMap<ServiceName, Duration>>,
@@ -761,33 +762,6 @@
         configured_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
-    /// Counts a new request, which adds to the retry budget of its service.
-    pub fn record_first_try(&self, service: &ServiceName, now: Instant) {
-        let mut allowances = self.allowances.borrow_mut();
-        self.allowance(&mut allowances, service)
-            .record_first_try(now);
-    }
-
-    /// Takes one retry from the retry budget of a service; returns whether one was left.
-    pub fn try_spend_retry(&self, service: &ServiceName, now: Instant) -> bool {
-        let mut allowances = self.allowances.borrow_mut();
-        let gateways = self.peers.borrow().sharing_gateways(now);
-        self.allowance(&mut allowances, service)
-            .try_spend(gateways, now)
-    }
-
-    fn allowance<'a>(
-        &self,
-        allowances: &'a mut HashMap<ServiceName, RetryAllowance>,
-        service: &ServiceName,
-    ) -> &'a mut RetryAllowance {
-        let options = &self.options;
-        allowances.entry(service.clone()).or_insert_with(|| {
-            let fixed = options.retry_allowance;
-            RetryAllowance::new(options.retry_window, options.retry_ratio, fixed)
-        })
-    }
-
     /// Returns the average time from the first attempt to the first event or the complete response;
     /// a third of the route's objective before the first sample.
     pub fn first_answer_time(&self, service: &ServiceName, route: &RouteRule) -> Duration {
