Count the retries of a process after its end

Cause: each process counted its retries by itself and started with an empty count, so that its gateway used its part of the fixed allowance again after each start. Besides, a process that starts knows few gateways and took a larger part than its own. The class of fault is a count of the fleet that ends with a process.

Ruled out: another path that repeats, and the ends of the window.

Change: load reports have the use of the budgets, in tenths of the window, if there were retries. Peers keep it and tell the next process of the gateway, which counts it as its own and has its part from then on, divided by the number of gateways that they name. A process that nobody tells has no part for a window, unless the settings say that the whole system starts for the first time (first_start, from bootstrap). A gateway at a new address waits as well, because the others have used the whole allowance. Limits that targets name are divided by the same number of gateways.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -22,6 +22,8 @@
 pub mod request_limits;
 pub mod request_quarantine;
 pub mod retry_allowance;
+pub mod retry_budgets;
+pub mod retry_handover;
 pub mod route_table;
 pub mod slow_ranks;
 pub mod stop_plan;
@@ -53,7 +55,9 @@
     request_quarantine::{
         CrashEvidence, RequestChange, RequestQuarantine, RequestRestriction, RequestTraits,
     },
-    retry_allowance::{RetryAllowance, RetryStatus},
+    retry_allowance::{RetryAllowance, RetryStatus, RetryUsage},
+    retry_budgets::{RetryBudgets, RetryRule},
+    retry_handover::{PreviousUsage, RetryHandover, UsageReport},
     route_table::{
         CallerLimits, EngineProfile, ExpertProfile, RepeatRule, RouteMatch, RouteMiss, RouteRule,
         RouteTable, ServiceRule, TeamRule,
--- a/crates/core/src/dispatch/retry_allowance.rs
+++ b/crates/core/src/dispatch/retry_allowance.rs
@@ -1,4 +1,5 @@
-//! Retry budget of this gateway, which is its part of the retries that all gateways may send.
+//! Retry budget of one service at this gateway, which is its part of the retries that all gateways
+//! may send.
 
 use {
     std::{collections::VecDeque, time::Duration},
@@ -6,9 +7,13 @@
 };
 
 /// Share of the retry budget that is used. The rest is a reserve for the time after a gateway
-/// starts or stops, while not every gateway knows their number yet.
+/// starts or stops, while not every gateway knows their number yet, and for what a process has used
+/// after its last report.
 const SAFETY_SHARE: f64 = 0.8;
 
+/// Number of equal intervals of a window in which [`RetryUsage`] counts.
+pub const USAGE_INTERVALS: u32 = 10;
+
 /// Use of a retry budget within the window that ends now.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RetryStatus {
@@ -18,6 +23,38 @@
     pub allowed: f64,
 }
 
+/// What a gateway has counted for the retry budget of a service within a window, in
+/// [`USAGE_INTERVALS`] intervals, the latest first.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RetryUsage {
+    /// First attempts of requests.
+    pub first_tries: Vec<u32>,
+    /// Retries.
+    pub retries: Vec<u32>,
+}
+
+impl RetryUsage {
+    /// Adds what another process has counted.
+    pub fn add(&mut self, other: &Self) {
+        add_counts(&mut self.first_tries, &other.first_tries);
+        add_counts(&mut self.retries, &other.retries);
+    }
+}
+
+fn add_counts(counts: &mut Vec<u32>, others: &[u32]) {
+    counts.resize(counts.len().max(others.len()), 0);
+    for (count, other) in counts.iter_mut().zip(others) {
+        *count = count.saturating_add(*other);
+    }
+}
+
+/// Attempts that count until a time.
+#[derive(Clone, Copy, Debug)]
+struct InheritedAttempts {
+    count: u32,
+    until: Instant,
+}
+
 /// Retry budget of one service in a sliding window: a share of the requests plus a fixed allowance.
 /// The gateways divide the allowance evenly among themselves without coordination.
 #[derive(Debug)]
@@ -27,6 +64,10 @@
     fixed: f64,
     first_tries: VecDeque<Instant>,
     retries: VecDeque<Instant>,
+    /// First tries that the previous process of this gateway has counted.
+    inherited_first_tries: Vec<InheritedAttempts>,
+    /// Retries that the previous process of this gateway has sent.
+    inherited_retries: Vec<InheritedAttempts>,
 }
 
 impl RetryAllowance {
@@ -39,6 +80,8 @@
             fixed,
             first_tries: VecDeque::new(),
             retries: VecDeque::new(),
+            inherited_first_tries: Vec::new(),
+            inherited_retries: Vec::new(),
         }
     }
 
@@ -48,20 +91,20 @@
     }
 
     /// Returns the use of the budget. `gateways` is the number of gateways that share the fixed
-    /// allowance.
-    pub fn status(&mut self, gateways: u32, now: Instant) -> RetryStatus {
-        drop_expired(&mut self.first_tries, self.window, now);
-        drop_expired(&mut self.retries, self.window, now);
-        let fixed_part = self.fixed / f64::from(gateways.max(1));
+    /// allowance, or `None` while this gateway has no part of it.
+    pub fn status(&mut self, gateways: Option<u32>, now: Instant) -> RetryStatus {
+        self.drop_expired(now);
+        let fixed_part = gateways.map_or(0.0, |gateways| self.fixed / f64::from(gateways.max(1)));
+        let first_tries = self.first_tries.len() + total(&self.inherited_first_tries);
         RetryStatus {
-            used: self.retries.len(),
-            allowed: (self.ratio * self.first_tries.len() as f64 + fixed_part) * SAFETY_SHARE,
+            used: self.retries.len() + total(&self.inherited_retries),
+            allowed: (self.ratio * first_tries as f64 + fixed_part) * SAFETY_SHARE,
         }
     }
 
     /// Takes one retry from the budget if there is one left, and returns whether there was.
-    /// `gateways` is the number of gateways that share the fixed allowance.
-    pub fn try_spend(&mut self, gateways: u32, now: Instant) -> bool {
+    /// `gateways` is as for [`Self::status`].
+    pub fn try_spend(&mut self, gateways: Option<u32>, now: Instant) -> bool {
         let status = self.status(gateways, now);
         let is_allowed = status.used as f64 + 1.0 <= status.allowed;
         if is_allowed {
@@ -69,6 +112,86 @@
         }
         is_allowed
     }
+
+    /// Returns what counts within the window, what was taken over included; `None` if there was no
+    /// retry.
+    pub fn usage(&mut self, now: Instant) -> Option<RetryUsage> {
+        self.drop_expired(now);
+        if self.retries.is_empty() && self.inherited_retries.is_empty() {
+            return None;
+        }
+        Some(RetryUsage {
+            first_tries: self.counts(&self.first_tries, &self.inherited_first_tries, now),
+            retries: self.counts(&self.retries, &self.inherited_retries, now),
+        })
+    }
+
+    /// Counts what the previous process of this gateway had counted at `as_of`, in place of what was
+    /// taken over before. Where the interval leaves it open, retries count longer and first tries
+    /// shorter.
+    pub fn take_over(&mut self, usage: &RetryUsage, as_of: Instant) {
+        let interval = self.window / USAGE_INTERVALS;
+        let inherit = |counts: &[u32], skipped: u32| {
+            let attempts = (skipped..).zip(counts).take(USAGE_INTERVALS as usize);
+            let attempts = attempts.map(|(age, count)| InheritedAttempts {
+                count: *count,
+                until: as_of + self.window.saturating_sub(interval * age),
+            });
+            attempts.filter(|attempts| attempts.count > 0).collect()
+        };
+        let first_tries = inherit(&usage.first_tries, 1);
+        self.inherited_retries = inherit(&usage.retries, 0);
+        self.inherited_first_tries = first_tries;
+    }
+
+    /// Forgets what was taken over.
+    pub fn clear_inherited(&mut self) {
+        self.inherited_first_tries.clear();
+        self.inherited_retries.clear();
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        drop_expired(&mut self.first_tries, self.window, now);
+        drop_expired(&mut self.retries, self.window, now);
+        for inherited in [&mut self.inherited_first_tries, &mut self.inherited_retries] {
+            inherited.retain(|attempts| now <= attempts.until);
+        }
+    }
+
+    /// Counts attempts by the interval of the window in which they were made, the latest first.
+    fn counts(
+        &self,
+        own: &VecDeque<Instant>,
+        inherited: &[InheritedAttempts],
+        now: Instant,
+    ) -> Vec<u32> {
+        let interval = self.window / USAGE_INTERVALS;
+        let mut counts = vec![0_u32; USAGE_INTERVALS as usize];
+        let mut add = |left: Duration, count: u32| {
+            let age = self.window.saturating_sub(left);
+            let index = age.as_nanos() / interval.as_nanos().max(1);
+            let index = usize::try_from(index).unwrap_or(usize::MAX);
+            let last = counts.len() - 1;
+            counts[index.min(last)] += count;
+        };
+        for at in own {
+            add((*at + self.window).saturating_duration_since(now), 1);
+        }
+        for attempts in inherited {
+            let left = attempts.until.saturating_duration_since(now);
+            add(left, attempts.count);
+        }
+        let used = counts.iter().rposition(|count| *count > 0);
+        counts.truncate(used.map_or(0, |last| last + 1));
+        counts
+    }
+}
+
+fn total(attempts: &[InheritedAttempts]) -> usize {
+    attempts
+        .iter()
+        .map(|attempts| attempts.count as usize)
+        .sum()
 }
 
 fn drop_expired(times: &mut VecDeque<Instant>, window: Duration, now: Instant) {
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -139,6 +139,7 @@
     7018 TargetCrashed Warn "target crashed before it began to answer a request";
     7019 TargetLimited Info "target limits the rate of requests";
     7020 TargetUnlimited Info "target limits the rate of requests no longer";
+    7021 RetriesTakenOver Info "retries of the previous process count against the budget";
     8001 PlatformUnavailable Warn "platform call failed";
     8002 PlatformRecovered Info "platform calls succeed again";
     8003 StoreRestored Warn "store was restored from an older copy";
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -409,7 +409,7 @@
         for step in 0..200 {
             let now = start + Duration::from_millis(step * 20);
             allowance.record_first_try(now);
-            total += u32::from(allowance.try_spend(gateways, now));
+            total += u32::from(allowance.try_spend(Some(gateways), now));
         }
     }
     assert!(f64::from(total) <= ratio * 800.0 + fixed, "{total}");
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 
 use {
     super::{
-        part_news,
+        part_news, retries,
         state::{GatewayState, NewerPeer, ipv4},
     },
     crate::listen,
@@ -219,7 +219,7 @@
     let (targets, in_flight) = busy
         .map(|(_, target)| (target.name_hash, target.own_in_flight))
         .unzip();
-    LoadReport {
+    let mut report = LoadReport {
         incarnation,
         sequence,
         availability_zone: state.own_zone.to_string(),
@@ -244,7 +244,9 @@
         revision,
         document_era: document_era.value(),
         ..part_news::encode(&state.quarantine.borrow(), now)
-    }
+    };
+    retries::add_usage(state, &mut report, now);
+    report
 }
 
 /// Returns the age of a time in milliseconds, as reports give it.
@@ -357,6 +359,7 @@
         note_limit(state, record, now);
     }
     part_news::apply(state, &report, now);
+    retries::apply_usage(state, address, &report, now);
     note_configuration(state, address, &report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -17,9 +17,9 @@
     sassafrasslip_core::{
         dispatch::{
             DatedSlowdown, DatedView, DurationEstimate, EraChange, FleetShare, GroupLoad, KnownEra,
-            LimitNews, PeerInquiry, PeerTable, RequestQuarantine, RequestRate, RetryAllowance,
-            RosterChange, RouteRule, RouteTable, Slowdown, StopPlan, StoreEra, StoreStamp,
-            TargetDeparture, TargetKey, TargetList, TargetRoster,
+            LimitNews, PeerInquiry, PeerTable, RequestQuarantine, RequestRate, RetryBudgets,
+            RetryHandover, RetryRule, RosterChange, RouteRule, RouteTable, Slowdown, StopPlan,
+            StoreEra, StoreStamp, TargetDeparture, TargetKey, TargetList, TargetRoster,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, PeerTableRejected, StoreAnswerOutdated, StoreEraAbandoned,
@@ -125,6 +125,10 @@
     /// Notified when a load report must be sent immediately, because of news that matter to all
     /// gateways, such as a changed state of a group.
     pub report_due: Notify,
+    /// Retry budgets of this gateway.
+    pub retry_budgets: RefCell<RetryBudgets>,
+    /// Use of the retry budgets by the peers.
+    pub retry_handover: RefCell<RetryHandover>,
     /// Crashes of targets, and the prompt parts and requests that cause them.
     pub quarantine: RefCell<RequestQuarantine>,
     /// Notified when the restrictions of requests may have changed.
@@ -149,8 +153,7 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Hash of the latest document of a peer that could not be decoded.
     rejected_document: Cell<u64>,
-    /// Retry budgets by service.
-    pub(super) allowances: RefCell<HashMap<ServiceName, RetryAllowance>>,
+
     /// Moving average, by service, of the time from the first attempt to the first event or the
     /// complete response.
     first_answers: RefCell<HashMap<ServiceName, Duration>>,
@@ -185,6 +188,13 @@
         options: GatewayOptions,
         metrics: GatewayMetrics,
     ) -> Self {
+        let retry_rule = RetryRule {
+            window: options.retry_window,
+            ratio: options.retry_ratio,
+            fixed: options.retry_allowance,
+        };
+        let started_at = Instant::now();
+        let retry_budgets = RetryBudgets::new(retry_rule, options.first_start, started_at);
         Self {
             own_zone: instance.availability_zone.clone(),
             options,
@@ -211,18 +221,19 @@
             peers: RefCell::default(),
             gossip_due: Cell::new(false),
             report_due: Notify::new(),
+            retry_budgets: RefCell::new(retry_budgets),
+            retry_handover: RefCell::new(RetryHandover::new(retry_rule.window)),
             quarantine: RefCell::default(),
             part_news: Notify::new(),
             checked_at: RefCell::default(),
             document: RefCell::default(),
             bounds: RefCell::default(),
-            started_at: Instant::now(),
+            started_at,
             leaving: Cell::new(false),
             stop_plan: Cell::new(None),
             ending: CancellationToken::new(),
             head_timeout: HeadTimeout::new(UNCONFIGURED_HEAD_TIMEOUT),
             table: RefCell::default(),
-            allowances: RefCell::default(),
             first_answers: RefCell::default(),
             durations: RefCell::default(),
         }
@@ -589,7 +600,7 @@
     /// Returns the part of this gateway in limits that all gateways share.
     pub fn fleet_share(&self, now: Instant) -> FleetShare {
         FleetShare {
-            gateways: self.peers.borrow().sharing_gateways(now),
+            gateways: self.sharing_gateways(now),
             draw: rand::random(),
         }
     }
@@ -682,7 +693,7 @@
                 .and_then(|(table, service)| table.service(service));
             rule.map_or(u32::MAX, |rule| rule.channel_limit)
         };
-        let gateways = self.peers.borrow().sharing_gateways(Instant::now());
+        let gateways = self.sharing_gateways(Instant::now());
         let max_idle = (limit / (2 * gateways)).max(1) as usize;
         self.channels.put(key, channel, announced, max_idle);
     }
--- a/crates/daemon/src/options/gateway.rs
+++ b/crates/daemon/src/options/gateway.rs
@@ -3,7 +3,7 @@
 use {
     super::units::{AddressText, AddressesText, AmountText, PositiveDurationText},
     serde::Deserialize,
-    serde_with::serde_as,
+    serde_with::{DisplayFromStr, serde_as},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -41,6 +41,11 @@
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_retry_window")]
     pub retry_window: Duration,
+    /// Whether the whole system starts for the first time, so that no earlier process of this gateway
+    /// has used the retry budget.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(default)]
+    pub first_start: bool,
     /// Time within which a leaving target must stop receiving new requests.
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_drain_limit")]
--- a/crates/daemon/tests/rendered_settings.rs
+++ b/crates/daemon/tests/rendered_settings.rs
@@ -81,6 +81,18 @@
     seconds_beyond_the_clock: ("stop_limit = 1e300 s", MAX_DURATION);
 }
 
+fn check_first_start(value: &str, expected: bool) {
+    let options = load(&format!("first_start = {value}")).unwrap();
+    assert_eq!(options.first_start, expected);
+}
+
+test_cases! {
+    fn check_first_start(value: &str, expected: bool);
+    first_start_of_the_system: ("true", true);
+    restart_of_a_process: ("false", false);
+    absent_first_start: ("", false);
+}
+
 fn check_refused(line: &str, expected: &str) {
     let error = load(line).unwrap_err();
     assert!(error.contains(expected), "{error}");
@@ -94,5 +106,6 @@
     unit_without_a_number: ("stop_limit =  s", "stop_limit = s: expected a number above 0");
     negative_duration: ("drain_limit = -1 ms", "expected a number above 0 with ms or s");
     duration_of_zero: ("drain_limit = 0 ms", "expected a number above 0 with ms or s");
+    first_start_that_is_no_truth_value: ("first_start = yes", "`true` or `false`");
     infinite_duration: ("stop_limit = inf s", "expected a number above 0 with ms or s");
 }
