Bound what load reports tell of restarted gateways in a test

The records come from a function of their own, which report_size.rs calls for fleets of 4, 40 and 300 gateways that restart at once; peer_versions.rs has an earlier build read the new fields. Also counts the size of the key of each record.

--- a/crates/core/src/dispatch/retry_handover.rs
+++ b/crates/core/src/dispatch/retry_handover.rs
@@ -4,7 +4,7 @@
 use {
     super::retry_allowance::RetryUsage,
     crate::ids::ServiceName,
-    std::{collections::HashMap, net::Ipv4Addr, time::Duration},
+    std::{collections::HashMap, mem, net::Ipv4Addr, time::Duration},
     tokio::time::Instant,
 };
 
@@ -114,7 +114,7 @@
         if !self.report.has_part && earlier.is_none() {
             return;
         }
-        let mut services = std::mem::take(&mut self.report.services);
+        let mut services = mem::take(&mut self.report.services);
         for (service, usage) in earlier.into_iter().flat_map(|earlier| earlier.services) {
             match services.iter_mut().find(|(known, _)| *known == service) {
                 Some((_, known)) => known.add(&usage),
--- a/crates/daemon/src/gateway/part_news.rs
+++ b/crates/daemon/src/gateway/part_news.rs
@@ -27,7 +27,7 @@
 const MAX_PROOF_BYTES: usize = 1024;
 
 /// Largest size of the key and the length of a record in a report, in bytes.
-const RECORD_OVERHEAD: usize = 4;
+pub(super) const RECORD_OVERHEAD: usize = 4;
 
 /// Returns a report that has only what this gateway knows of crashes.
 pub fn encode(quarantine: &RequestQuarantine, now: Instant) -> LoadReport {
--- a/crates/daemon/src/gateway/retries.rs
+++ b/crates/daemon/src/gateway/retries.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
+        part_news::RECORD_OVERHEAD,
         peers::{age_ms, time_of},
         state::GatewayState,
     },
     prost::Message,
     sassafrasslip_core::{
-        dispatch::{PreviousUsage, RetryStatus, RetryUsage, UsageReport},
+        dispatch::{PreviousUsage, RetryHandover, RetryStatus, RetryUsage, UsageReport},
         events::LogEvent::RetriesTakenOver,
         ids::ServiceName,
         log_event,
@@ -57,22 +58,25 @@
     let mut budgets = state.retry_budgets.borrow_mut();
     report.has_retry_part = budgets.has_part(now);
     report.retry_usage = usage_records(&budgets.usage(now));
-    let handover = state.retry_handover.borrow();
-    let mut length = 0;
-    let previous = handover.news(now).map(|(gateway, previous)| {
-        let services = usage_records(&previous.services);
-        PreviousUsageRecord {
+    report.previous_usage = previous_records(&state.retry_handover.borrow(), now);
+}
+
+/// Returns what a report tells of processes that have ended, up to the size limit.
+pub fn previous_records(handover: &RetryHandover, now: Instant) -> Vec<PreviousUsageRecord> {
+    let records = handover
+        .news(now)
+        .map(|(gateway, previous)| PreviousUsageRecord {
             gateway: gateway.into(),
             age_ms: age_ms(previous.as_of, now),
             gateways: previous.gateways,
-            services,
-        }
-    });
+            services: usage_records(&previous.services),
+        });
+    let mut length = 0;
     let fits = |record: &PreviousUsageRecord| {
-        length += record.encoded_len();
+        length += record.encoded_len() + RECORD_OVERHEAD;
         length <= MAX_PREVIOUS_BYTES
     };
-    report.previous_usage = previous.take_while(fits).collect();
+    records.take_while(fits).collect()
 }
 
 fn usage_records(usage: &[(ServiceName, RetryUsage)]) -> Vec<RetryUsageRecord> {
--- a/crates/daemon/tests/report_size.rs
+++ b/crates/daemon/tests/report_size.rs
@@ -1,14 +1,15 @@
-//! Guards against load reports that peers cannot decode, because many crashes make them larger than
-//! the datagrams that gateways receive whole.
+//! Guards against load reports that peers cannot decode, because many crashes or restarts make them
+//! larger than the datagrams that gateways receive whole.
 
 use {
     prost::Message,
     sassafrasslip_core::dispatch::{
-        CrashEvidence, CrashId, PromptPart, RequestQuarantine, RequestTraits,
+        CrashEvidence, CrashId, PromptPart, RequestQuarantine, RequestTraits, RetryHandover,
+        RetryUsage, UsageReport,
     },
-    sassafrasslip_daemon::gateway::part_news::encode,
+    sassafrasslip_daemon::gateway::{part_news::encode, retries::previous_records},
     sassafrasslip_testkit::test_cases,
-    std::time::Duration,
+    std::{net::Ipv4Addr, time::Duration},
     tokio::time::Instant,
 };
 
@@ -62,3 +63,43 @@
     crashes_without_prompts: (64, 12, 0, false);
     as_many_crashes_as_are_kept: (64, 12, 3, false);
 }
+
+/// Size of what a report may tell of restarted gateways, in bytes: a quarter of a datagram, of which
+/// crashes may take the half.
+const MAX_RESTART_BYTES: usize = 4 * 1024;
+
+/// All gateways of a fleet restart at once after retries of `services` services.
+fn check_restarts(gateways: u32, services: u32) {
+    let now = Instant::now();
+    let mut handover = RetryHandover::new(Duration::from_secs(10));
+    let usage = RetryUsage {
+        first_tries: vec![200; 10],
+        retries: vec![200; 10],
+    };
+    for incarnation in [1, 2] {
+        for gateway in 0..gateways {
+            let services = (0..services)
+                .map(|service| (format!("service-{service}").parse().unwrap(), usage.clone()));
+            let report = UsageReport {
+                incarnation,
+                sequence: 1,
+                has_part: incarnation == 1,
+                services: services.collect(),
+            };
+            let address = Ipv4Addr::from(0x0a00_0001 + gateway);
+            handover.record(address, report, gateways, now);
+        }
+    }
+    let records = previous_records(&handover, now);
+    let length: usize = records.iter().map(Message::encoded_len).sum();
+    assert!(length <= MAX_RESTART_BYTES, "{length} bytes");
+    assert!(!records.is_empty());
+    assert!(gateways > 4 || records.len() == gateways as usize);
+}
+
+test_cases! {
+    fn check_restarts(gateways: u32, services: u32);
+    restart_of_a_small_fleet: (4, 2);
+    restart_of_a_large_fleet: (40, 2);
+    restart_of_a_fleet_with_many_services: (300, 12);
+}
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -4,8 +4,9 @@
 use {
     prost::Message,
     sassafrasslip_proto::peer::{
-        CrashRecord, DepartureRecord, LimitRecord, LoadReport, PartProofRecord, QuarantineRecord,
-        RequestCrashRecord, SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
+        CrashRecord, DepartureRecord, LimitRecord, LoadReport, PartProofRecord,
+        PreviousUsageRecord, QuarantineRecord, RequestCrashRecord, RetryUsageRecord,
+        SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
     },
 };
 
@@ -70,6 +71,14 @@
     }
 }
 
+fn usage() -> RetryUsageRecord {
+    RetryUsageRecord {
+        service: "orders".to_owned(),
+        first_tries: vec![5, 6],
+        retries: vec![1, 0, 2],
+    }
+}
+
 #[test]
 fn earlier_build_reads_a_report_with_crashes_and_limits() {
     let news = LoadReport {
@@ -93,6 +102,14 @@
             per_second: Some(2.4),
             age_ms: 70,
         }],
+        retry_usage: vec![usage()],
+        has_retry_part: true,
+        previous_usage: vec![PreviousUsageRecord {
+            gateway: 0x7f00_0002,
+            age_ms: 80,
+            gateways: 4,
+            services: vec![usage()],
+        }],
         ..report()
     };
     let read = EarlierReport::decode(&*news.encode_to_vec()).unwrap();
