Take over counts of any size

A report of a faulty peer could overflow the sum of retries in a tenth of the window, which ends a debug build. Found on reading the change; a test has the largest counts.

--- a/crates/core/src/dispatch/retry_allowance.rs
+++ b/crates/core/src/dispatch/retry_allowance.rs
@@ -172,7 +172,8 @@
             let index = age.as_nanos() / interval.as_nanos().max(1);
             let index = usize::try_from(index).unwrap_or(usize::MAX);
             let last = counts.len() - 1;
-            counts[index.min(last)] += count;
+            let counted = &mut counts[index.min(last)];
+            *counted = counted.saturating_add(count);
         };
         for at in own {
             add((*at + self.window).saturating_duration_since(now), 1);
--- a/crates/core/tests/retry_handover.rs
+++ b/crates/core/tests/retry_handover.rs
@@ -271,6 +271,24 @@
     same_news_count_twice: (&[500, 500, 499], 500);
 }
 
+/// Counts of a faulty peer must neither end the process nor allow retries for longer than a window.
+#[test]
+fn counts_of_any_size_are_taken_over() {
+    let start = Instant::now();
+    let mut allowance = RetryAllowance::new(RULE.window, RULE.ratio, RULE.fixed);
+    let counts = [u32::MAX; 40];
+    for as_of in [start, start + STEP] {
+        let mut usage = usage(&[], &counts);
+        usage.add(&usage.clone());
+        allowance.take_over(&usage, as_of);
+        let reported = allowance.usage(as_of + STEP).unwrap();
+        allowance.take_over(&reported, as_of + STEP);
+    }
+    assert!(!allowance.try_spend(Some(1), start + STEP));
+    let later = start + RULE.window + STEP * 3;
+    assert!(allowance.try_spend(Some(1), later));
+}
+
 /// Where intervals leave it open, what is taken over must not allow more than the window does.
 #[test]
 fn usage_in_intervals_counts_at_least_the_retries_of_the_window() {
--- a/crates/daemon/src/gateway/retries.rs
+++ b/crates/daemon/src/gateway/retries.rs
@@ -1,4 +1,4 @@
-//! Retry budgets of this gateway, and those of all gateways in the load reports.
+//! Retry budgets of this gateway, and what load reports tell of those of all gateways.
 
 use {
     super::{
@@ -137,7 +137,7 @@
     log_event!(
         RetriesTakenOver,
         peer = peer,
-        retries = retries.sum::<u32>(),
+        retries = retries.map(|count| u64::from(*count)).sum::<u64>(),
         age_ms = record.age_ms,
         gateways = record.gateways
     );
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -153,7 +153,6 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Hash of the latest document of a peer that could not be decoded.
     rejected_document: Cell<u64>,
-
     /// Moving average, by service, of the time from the first attempt to the first event or the
     /// complete response.
     first_answers: RefCell<HashMap<ServiceName, Duration>>,
