Keep the named number of gateways in the peer table

The retry budgets corrected the number of sharing gateways after a start, and a wrapper in the gateway's state carried the corrected number to limits and connections. The peer table counts the gateways; it now has the number that peers name too, so that all callers ask it as before. Behaviour is the same: the highest named number counts until the end of the first window.

--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -80,6 +80,17 @@
     peers: HashMap<Ipv4Addr, Peer>,
     /// Addresses that have not reported yet, with the time until which reports are sent to them.
     candidates: HashMap<Ipv4Addr, Instant>,
+    /// Number of gateways that share the retry budget, as peers have named it to this gateway after
+    /// its start.
+    named_sharing: Option<NamedNumber>,
+}
+
+/// Number of gateways that a peer has named.
+#[derive(Clone, Copy, Debug)]
+struct NamedNumber {
+    gateways: u32,
+    /// Time until which it counts.
+    until: Instant,
 }
 
 impl PeerTable {
@@ -218,11 +229,22 @@
         self.peers.keys().copied()
     }
 
+    /// Records the number of gateways that share the retry budget, as a peer has named it to this
+    /// gateway after its start. The highest one counts until `until`, since not all peers may have
+    /// reported yet.
+    pub fn note_sharing(&mut self, gateways: u32, until: Instant) {
+        let known = self.named_sharing.map_or(0, |named| named.gateways);
+        let gateways = gateways.max(known);
+        self.named_sharing = Some(NamedNumber { gateways, until });
+    }
+
     /// Returns the number of gateways among which the retry budget is divided, this one included.
     pub fn sharing_gateways(&self, now: Instant) -> u32 {
         let sharing = self.peers.values();
         let sharing = sharing.filter(|peer| now < peer.heard_at + SHARING_TIMEOUT);
-        1 + u32::try_from(sharing.count()).unwrap_or(u32::MAX - 1)
+        let known = 1 + u32::try_from(sharing.count()).unwrap_or(u32::MAX - 1);
+        let named = self.named_sharing.filter(|named| now < named.until);
+        named.map_or(known, |named| known.max(named.gateways))
     }
 
     /// Returns whether the reports of all peers that may still be running have arrived without a
--- a/crates/core/src/dispatch/retry_budgets.rs
+++ b/crates/core/src/dispatch/retry_budgets.rs
@@ -40,8 +40,6 @@
     allowances: HashMap<ServiceName, RetryAllowance>,
     /// When the previous process sent the report from which its use was taken over.
     inherited_as_of: Option<Instant>,
-    /// Highest number of gateways that a peer has named with the use of the previous process.
-    named_gateways: u32,
 }
 
 impl RetryBudgets {
@@ -54,27 +52,19 @@
             is_first_start,
             allowances: HashMap::new(),
             inherited_as_of: None,
-            named_gateways: 0,
         }
     }
 
     /// Returns whether this gateway has a part of the fixed allowance. A gateway at a new address
     /// gets one when the others have used a smaller part for a whole window.
     pub fn has_part(&self, now: Instant) -> bool {
-        self.is_first_start || self.inherited_as_of.is_some() || !self.is_starting(now)
+        self.is_first_start || self.inherited_as_of.is_some() || now >= self.starts_until()
     }
 
-    fn is_starting(&self, now: Instant) -> bool {
-        now < self.started_at + self.rule.window
-    }
-
-    /// Returns the number of gateways that share limits; `known` is the number that this process
-    /// knows, which is too low until all of them have reported.
-    pub fn sharing_gateways(&self, known: u32, now: Instant) -> u32 {
-        match self.is_starting(now) {
-            true => known.max(self.named_gateways),
-            false => known,
-        }
+    /// Returns the end of the first window of this process, until which news of the previous one
+    /// count.
+    pub fn starts_until(&self) -> Instant {
+        self.started_at + self.rule.window
     }
 
     /// Counts the first attempt of a request of a caller.
@@ -83,23 +73,18 @@
     }
 
     /// Takes one retry from the budget of a service if there is one left, and returns whether there
-    /// was. `known` is the number of gateways that this process knows.
-    pub fn try_spend(&mut self, service: &ServiceName, known: u32, now: Instant) -> bool {
-        let gateways = self.part(known, now);
+    /// was. `gateways` is the number of gateways that share the fixed allowance.
+    pub fn try_spend(&mut self, service: &ServiceName, gateways: u32, now: Instant) -> bool {
+        let gateways = self.has_part(now).then_some(gateways);
         self.allowance(service).try_spend(gateways, now)
     }
 
-    /// Returns the use of the budget of a service. `known` is as for [`Self::try_spend`].
-    pub fn status(&mut self, service: &ServiceName, known: u32, now: Instant) -> RetryStatus {
-        let gateways = self.part(known, now);
+    /// Returns the use of the budget of a service. `gateways` is as for [`Self::try_spend`].
+    pub fn status(&mut self, service: &ServiceName, gateways: u32, now: Instant) -> RetryStatus {
+        let gateways = self.has_part(now).then_some(gateways);
         self.allowance(service).status(gateways, now)
     }
 
-    fn part(&self, known: u32, now: Instant) -> Option<u32> {
-        let gateways = self.sharing_gateways(known, now);
-        self.has_part(now).then_some(gateways)
-    }
-
     /// Returns what counts for the services with retries within the window.
     pub fn usage(&mut self, now: Instant) -> Vec<(ServiceName, RetryUsage)> {
         let allowances = self.allowances.iter_mut();
@@ -115,11 +100,10 @@
     pub fn take_over(&mut self, previous: &PreviousUsage, now: Instant) -> bool {
         let inherited = self.inherited_as_of;
         let is_known = inherited.is_some_and(|as_of| previous.as_of < as_of + NEWER_BY);
-        if !self.is_starting(now) || is_known {
+        if now >= self.starts_until() || is_known {
             return false;
         }
         self.inherited_as_of = Some(previous.as_of);
-        self.named_gateways = self.named_gateways.max(previous.gateways);
         let allowances = self.allowances.values_mut();
         allowances.for_each(RetryAllowance::clear_inherited);
         for (service, usage) in &previous.services {
--- a/crates/core/tests/retry_handover.rs
+++ b/crates/core/tests/retry_handover.rs
@@ -7,8 +7,8 @@
 use {
     sassafrasslip_core::{
         dispatch::{
-            PreviousUsage, RetryAllowance, RetryBudgets, RetryHandover, RetryRule, RetryUsage,
-            UsageReport,
+            PeerReport, PeerTable, PreviousUsage, RetryAllowance, RetryBudgets, RetryHandover,
+            RetryRule, RetryUsage, UsageReport,
         },
         ids::ServiceName,
     },
@@ -233,20 +233,39 @@
     assert!(budgets.try_spend(&service(), 1, start + RULE.window));
 }
 
+fn peer_report(incarnation: u64) -> PeerReport {
+    PeerReport {
+        incarnation,
+        sequence: 1,
+        availability_zone: None,
+        loads: Vec::new(),
+        leaving: false,
+        settled: false,
+        interval: Duration::from_millis(100),
+    }
+}
+
 /// A process that starts knows few gateways at first, and would take a larger part than its own.
 #[test]
 fn process_that_starts_divides_by_the_number_of_gateways_that_it_is_told() {
     let start = Instant::now();
     let mut budgets = RetryBudgets::new(RULE, false, start);
+    let mut peers = PeerTable::default();
+    peers.record(address(1), peer_report(1), start);
     let previous = PreviousUsage {
         as_of: start,
         gateways: 4,
         services: Vec::new(),
     };
     assert!(budgets.take_over(&previous, start));
-    let retries = (0..100).filter(|_| budgets.try_spend(&service(), 2, start));
+    // A peer that has started too may name fewer gateways.
+    for gateways in [previous.gateways, 2] {
+        peers.note_sharing(gateways, budgets.starts_until());
+    }
+    let gateways = peers.sharing_gateways(start);
+    let retries = (0..100).filter(|_| budgets.try_spend(&service(), gateways, start));
     assert!(retries.count() as f64 <= RULE.fixed / 4.0);
-    assert_eq!(budgets.sharing_gateways(2, start + RULE.window), 2);
+    assert_eq!(peers.sharing_gateways(start + RULE.window), 2);
 }
 
 /// A peer that has heard the previous process last must be believed, in whatever order news arrive.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -586,7 +586,7 @@
             cause = error.faulty_target.as_deref().unwrap_or_default(),
             retries = retries.used,
             retry_limit = format_args!("{:.1}", retries.allowed),
-            gateways = self.state.sharing_gateways(now),
+            gateways = self.state.peers.borrow().sharing_gateways(now),
             next = format_args!("{next:?}")
         );
         match next {
--- a/crates/daemon/src/gateway/retries.rs
+++ b/crates/daemon/src/gateway/retries.rs
@@ -31,24 +31,16 @@
 
     /// Takes one retry from the retry budget of a service; returns whether one was left.
     pub fn try_spend_retry(&self, service: &ServiceName, now: Instant) -> bool {
-        let known = self.peers.borrow().sharing_gateways(now);
+        let gateways = self.peers.borrow().sharing_gateways(now);
         let mut budgets = self.retry_budgets.borrow_mut();
-        budgets.try_spend(service, known, now)
+        budgets.try_spend(service, gateways, now)
     }
 
     /// Returns the use of the retry budget of a service.
     pub fn retry_status(&self, service: &ServiceName, now: Instant) -> RetryStatus {
-        let known = self.peers.borrow().sharing_gateways(now);
+        let gateways = self.peers.borrow().sharing_gateways(now);
         let mut budgets = self.retry_budgets.borrow_mut();
-        budgets.status(service, known, now)
-    }
-
-    /// Returns the number of gateways that share limits on targets and the retry budgets, this one
-    /// included.
-    pub fn sharing_gateways(&self, now: Instant) -> u32 {
-        let known = self.peers.borrow().sharing_gateways(now);
-        let budgets = self.retry_budgets.borrow();
-        budgets.sharing_gateways(known, now)
+        budgets.status(service, gateways, now)
     }
 }
 
@@ -113,7 +105,7 @@
         has_part: report.has_retry_part,
         services: usage_of(&report.retry_usage),
     };
-    let gateways = state.sharing_gateways(now);
+    let gateways = state.peers.borrow().sharing_gateways(now);
     let mut handover = state.retry_handover.borrow_mut();
     if handover.record(peer, usage, gateways, now) {
         state.report_due.notify_one();
@@ -129,9 +121,12 @@
         gateways: record.gateways,
         services: usage_of(&record.services),
     };
-    if !state.retry_budgets.borrow_mut().take_over(&previous, now) {
+    let mut budgets = state.retry_budgets.borrow_mut();
+    if !budgets.take_over(&previous, now) {
         return;
     }
+    let mut peers = state.peers.borrow_mut();
+    peers.note_sharing(previous.gateways, budgets.starts_until());
     let retries = previous.services.iter();
     let retries = retries.flat_map(|(_, usage)| &usage.retries);
     log_event!(
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -599,7 +599,7 @@
     /// Returns the part of this gateway in limits that all gateways share.
     pub fn fleet_share(&self, now: Instant) -> FleetShare {
         FleetShare {
-            gateways: self.sharing_gateways(now),
+            gateways: self.peers.borrow().sharing_gateways(now),
             draw: rand::random(),
         }
     }
@@ -692,7 +692,7 @@
                 .and_then(|(table, service)| table.service(service));
             rule.map_or(u32::MAX, |rule| rule.channel_limit)
         };
-        let gateways = self.sharing_gateways(Instant::now());
+        let gateways = self.peers.borrow().sharing_gateways(Instant::now());
         let max_idle = (limit / (2 * gateways)).max(1) as usize;
         self.channels.put(key, channel, announced, max_idle);
     }
