Choose the records of restarted gateways as those of crashes

previous_records had its own loop for the size limit of a report. part_news::latest does the same and takes the latest records first; above the limit the choice was that of a hash map before.

--- a/crates/daemon/src/gateway/part_news.rs
+++ b/crates/daemon/src/gateway/part_news.rs
@@ -27,7 +27,7 @@
 const MAX_PROOF_BYTES: usize = 1024;
 
 /// Largest size of the key and the length of a record in a report, in bytes.
-pub(super) const RECORD_OVERHEAD: usize = 4;
+const RECORD_OVERHEAD: usize = 4;
 
 /// Returns a report that has only what this gateway knows of crashes.
 pub fn encode(quarantine: &RequestQuarantine, now: Instant) -> LoadReport {
@@ -57,7 +57,7 @@
 
 /// Returns the latest records that take at most `limit` bytes of a report. Peers have received the
 /// older ones before.
-fn latest<R: Message>(
+pub(super) fn latest<R: Message>(
     records: impl Iterator<Item = R>,
     age_ms: impl Fn(&R) -> u32,
     limit: usize,
--- a/crates/daemon/src/gateway/retries.rs
+++ b/crates/daemon/src/gateway/retries.rs
@@ -2,11 +2,10 @@
 
 use {
     super::{
-        part_news::RECORD_OVERHEAD,
+        part_news::latest,
         peers::{age_ms, time_of},
         state::GatewayState,
     },
-    prost::Message,
     sassafrasslip_core::{
         dispatch::{PreviousUsage, RetryHandover, RetryStatus, RetryUsage, UsageReport},
         events::LogEvent::RetriesTakenOver,
@@ -63,12 +62,7 @@
             gateways: previous.gateways,
             services: usage_records(&previous.services),
         });
-    let mut length = 0;
-    let fits = |record: &PreviousUsageRecord| {
-        length += record.encoded_len() + RECORD_OVERHEAD;
-        length <= MAX_PREVIOUS_BYTES
-    };
-    records.take_while(fits).collect()
+    latest(records, |record| record.age_ms, MAX_PREVIOUS_BYTES)
 }
 
 fn usage_records(usage: &[(ServiceName, RetryUsage)]) -> Vec<RetryUsageRecord> {
