Count first tries and retries with one window type

RetryAllowance had four lists: two kinds of attempts, each of this process and of the previous one, with the same steps for both kinds. AttemptWindow holds one kind. Taking over an empty use forgets what was taken over, so that clear_inherited goes.

--- a/crates/core/src/dispatch/retry_allowance.rs
+++ b/crates/core/src/dispatch/retry_allowance.rs
@@ -50,11 +50,73 @@
 
 /// Attempts that count until a time.
 #[derive(Clone, Copy, Debug)]
-struct InheritedAttempts {
+struct CountedAttempts {
     count: u32,
     until: Instant,
 }
 
+/// Attempts of one kind in a sliding window.
+#[derive(Debug, Default)]
+struct AttemptWindow {
+    /// Times of the attempts of this process.
+    own: VecDeque<Instant>,
+    /// Attempts of the previous process of this gateway.
+    inherited: Vec<CountedAttempts>,
+}
+
+impl AttemptWindow {
+    fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.inherited.is_empty()
+    }
+
+    fn total(&self) -> usize {
+        let inherited = self.inherited.iter();
+        let inherited = inherited.map(|attempts| attempts.count as usize);
+        self.own.len() + inherited.sum::<usize>()
+    }
+
+    fn drop_expired(&mut self, window: Duration, now: Instant) {
+        while self.own.front().is_some_and(|time| *time + window < now) {
+            self.own.pop_front();
+        }
+        self.inherited.retain(|attempts| now <= attempts.until);
+    }
+
+    /// Replaces the attempts of the previous process by those that it had counted at `as_of`. They
+    /// expire `skipped` intervals earlier than the latest in their interval.
+    fn inherit(&mut self, counts: &[u32], skipped: u32, window: Duration, as_of: Instant) {
+        let interval = window / USAGE_INTERVALS;
+        let attempts = (skipped..).zip(counts).take(USAGE_INTERVALS as usize);
+        let attempts = attempts.map(|(age, count)| CountedAttempts {
+            count: *count,
+            until: as_of + window.saturating_sub(interval * age),
+        });
+        self.inherited = attempts.filter(|attempts| attempts.count > 0).collect();
+    }
+
+    /// Counts attempts by the interval of the window in which they were made, the latest first.
+    fn counts(&self, window: Duration, now: Instant) -> Vec<u32> {
+        let interval = window / USAGE_INTERVALS;
+        let mut counts = vec![0_u32; USAGE_INTERVALS as usize];
+        let own = self.own.iter().map(|at| CountedAttempts {
+            count: 1,
+            until: *at + window,
+        });
+        for attempts in own.chain(self.inherited.iter().copied()) {
+            let left = attempts.until.saturating_duration_since(now);
+            let age = window.saturating_sub(left);
+            let index = age.as_nanos() / interval.as_nanos().max(1);
+            let index = usize::try_from(index).unwrap_or(usize::MAX);
+            let last = counts.len() - 1;
+            let counted = &mut counts[index.min(last)];
+            *counted = counted.saturating_add(attempts.count);
+        }
+        let used = counts.iter().rposition(|count| *count > 0);
+        counts.truncate(used.map_or(0, |last| last + 1));
+        counts
+    }
+}
+
 /// Retry budget of one service in a sliding window: a share of the requests plus a fixed allowance.
 /// The gateways divide the allowance evenly among themselves without coordination.
 #[derive(Debug)]
@@ -62,12 +124,8 @@
     window: Duration,
     ratio: f64,
     fixed: f64,
-    first_tries: VecDeque<Instant>,
-    retries: VecDeque<Instant>,
-    /// First tries that the previous process of this gateway has counted.
-    inherited_first_tries: Vec<InheritedAttempts>,
-    /// Retries that the previous process of this gateway has sent.
-    inherited_retries: Vec<InheritedAttempts>,
+    first_tries: AttemptWindow,
+    retries: AttemptWindow,
 }
 
 impl RetryAllowance {
@@ -78,16 +136,14 @@
             window,
             ratio,
             fixed,
-            first_tries: VecDeque::new(),
-            retries: VecDeque::new(),
-            inherited_first_tries: Vec::new(),
-            inherited_retries: Vec::new(),
+            first_tries: AttemptWindow::default(),
+            retries: AttemptWindow::default(),
         }
     }
 
     /// Counts the first attempt of a request of a caller.
     pub fn record_first_try(&mut self, now: Instant) {
-        self.first_tries.push_back(now);
+        self.first_tries.own.push_back(now);
     }
 
     /// Returns the use of the budget. `gateways` is the number of gateways that share the fixed
@@ -95,9 +151,9 @@
     pub fn status(&mut self, gateways: Option<u32>, now: Instant) -> RetryStatus {
         self.drop_expired(now);
         let fixed_part = gateways.map_or(0.0, |gateways| self.fixed / f64::from(gateways.max(1)));
-        let first_tries = self.first_tries.len() + total(&self.inherited_first_tries);
+        let first_tries = self.first_tries.total();
         RetryStatus {
-            used: self.retries.len() + total(&self.inherited_retries),
+            used: self.retries.total(),
             allowed: (self.ratio * first_tries as f64 + fixed_part) * SAFETY_SHARE,
         }
     }
@@ -108,7 +164,7 @@
         let status = self.status(gateways, now);
         let is_allowed = status.used as f64 + 1.0 <= status.allowed;
         if is_allowed {
-            self.retries.push_back(now);
+            self.retries.own.push_back(now);
         }
         is_allowed
     }
@@ -117,12 +173,12 @@
     /// retry.
     pub fn usage(&mut self, now: Instant) -> Option<RetryUsage> {
         self.drop_expired(now);
-        if self.retries.is_empty() && self.inherited_retries.is_empty() {
+        if self.retries.is_empty() {
             return None;
         }
         Some(RetryUsage {
-            first_tries: self.counts(&self.first_tries, &self.inherited_first_tries, now),
-            retries: self.counts(&self.retries, &self.inherited_retries, now),
+            first_tries: self.first_tries.counts(self.window, now),
+            retries: self.retries.counts(self.window, now),
         })
     }
 
@@ -130,73 +186,14 @@
     /// taken over before. Where the interval leaves it open, retries count longer and first tries
     /// shorter.
     pub fn take_over(&mut self, usage: &RetryUsage, as_of: Instant) {
-        let interval = self.window / USAGE_INTERVALS;
-        let inherit = |counts: &[u32], skipped: u32| {
-            let attempts = (skipped..).zip(counts).take(USAGE_INTERVALS as usize);
-            let attempts = attempts.map(|(age, count)| InheritedAttempts {
-                count: *count,
-                until: as_of + self.window.saturating_sub(interval * age),
-            });
-            attempts.filter(|attempts| attempts.count > 0).collect()
-        };
-        let first_tries = inherit(&usage.first_tries, 1);
-        self.inherited_retries = inherit(&usage.retries, 0);
-        self.inherited_first_tries = first_tries;
-    }
-
-    /// Forgets what was taken over.
-    pub fn clear_inherited(&mut self) {
-        self.inherited_first_tries.clear();
-        self.inherited_retries.clear();
+        let window = self.window;
+        self.first_tries
+            .inherit(&usage.first_tries, 1, window, as_of);
+        self.retries.inherit(&usage.retries, 0, window, as_of);
     }
 
     fn drop_expired(&mut self, now: Instant) {
-        drop_expired(&mut self.first_tries, self.window, now);
-        drop_expired(&mut self.retries, self.window, now);
-        for inherited in [&mut self.inherited_first_tries, &mut self.inherited_retries] {
-            inherited.retain(|attempts| now <= attempts.until);
-        }
-    }
-
-    /// Counts attempts by the interval of the window in which they were made, the latest first.
-    fn counts(
-        &self,
-        own: &VecDeque<Instant>,
-        inherited: &[InheritedAttempts],
-        now: Instant,
-    ) -> Vec<u32> {
-        let interval = self.window / USAGE_INTERVALS;
-        let mut counts = vec![0_u32; USAGE_INTERVALS as usize];
-        let mut add = |left: Duration, count: u32| {
-            let age = self.window.saturating_sub(left);
-            let index = age.as_nanos() / interval.as_nanos().max(1);
-            let index = usize::try_from(index).unwrap_or(usize::MAX);
-            let last = counts.len() - 1;
-            let counted = &mut counts[index.min(last)];
-            *counted = counted.saturating_add(count);
-        };
-        for at in own {
-            add((*at + self.window).saturating_duration_since(now), 1);
-        }
-        for attempts in inherited {
-            let left = attempts.until.saturating_duration_since(now);
-            add(left, attempts.count);
-        }
-        let used = counts.iter().rposition(|count| *count > 0);
-        counts.truncate(used.map_or(0, |last| last + 1));
-        counts
-    }
-}
-
-fn total(attempts: &[InheritedAttempts]) -> usize {
-    attempts
-        .iter()
-        .map(|attempts| attempts.count as usize)
-        .sum()
-}
-
-fn drop_expired(times: &mut VecDeque<Instant>, window: Duration, now: Instant) {
-    while times.front().is_some_and(|time| *time + window < now) {
-        times.pop_front();
+        self.first_tries.drop_expired(self.window, now);
+        self.retries.drop_expired(self.window, now);
     }
 }
--- a/crates/core/src/dispatch/retry_budgets.rs
+++ b/crates/core/src/dispatch/retry_budgets.rs
@@ -104,8 +104,10 @@
             return false;
         }
         self.inherited_as_of = Some(previous.as_of);
-        let allowances = self.allowances.values_mut();
-        allowances.for_each(RetryAllowance::clear_inherited);
+        // A service that is missing had no retries.
+        for allowance in self.allowances.values_mut() {
+            allowance.take_over(&RetryUsage::default(), previous.as_of);
+        }
         for (service, usage) in &previous.services {
             let allowance = self.allowance(service);
             allowance.take_over(usage, previous.as_of);
