Measure retries against the budget with one function

The replay of restarts and the tests of processes had the same loop over windows. It is retry_excess of the testkit now, with the rule of the budget as its argument; bounds and assertions are as before.

--- a/crates/core/tests/retry_handover.rs
+++ b/crates/core/tests/retry_handover.rs
@@ -12,7 +12,7 @@
         },
         ids::ServiceName,
     },
-    sassafrasslip_testkit::test_cases,
+    sassafrasslip_testkit::{retry_excess::retry_excess, test_cases},
     std::{net::Ipv4Addr, time::Duration},
     tokio::time::Instant,
 };
@@ -92,22 +92,6 @@
     }
 }
 
-/// Returns the most attempts in a window that begins with one of them, less what is allowed for the
-/// first tries in it.
-fn worst_excess(first_tries: &[Instant], retries: &[Instant]) -> f64 {
-    let in_window = |times: &[Instant], from: Instant| {
-        let times = times.iter();
-        times
-            .filter(|at| **at >= from && **at < from + RULE.window)
-            .count()
-    };
-    let excess = retries.iter().map(|from| {
-        let allowed = RULE.ratio * in_window(first_tries, *from) as f64 + RULE.fixed;
-        in_window(retries, *from) as f64 - allowed
-    });
-    excess.fold(f64::MIN, f64::max)
-}
-
 /// Ends `at_once` of the gateways in each interval, one group after the other.
 fn check_kills(gateways: usize, at_once: usize, interval: Duration) {
     let start = Instant::now();
@@ -146,7 +130,7 @@
             }
         }
     }
-    let excess = worst_excess(&first_tries, &retries);
+    let excess = retry_excess(RULE, &first_tries, &retries);
     assert!(excess <= 0.0, "{excess:.1} retries above the budget");
     assert!(retries.len() > 200, "{} retries", retries.len());
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod platform;
 pub mod promela;
 pub mod relay;
+pub mod retry_excess;
 pub mod service;
