--- a/review/kit.rs
+++ b/review/kit.rs
@@ -56,6 +56,16 @@
 /// Processes that the script has started and not ended yet.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Has a process ended with the script.
+pub fn track(child: &Child) {
+    STARTED.lock().unwrap().push(child.id());
+}
+
+/// Records that a process has been ended already.
+pub fn untrack(child: &Child) {
+    STARTED.lock().unwrap().retain(|process| *process != child.id());
+}
+
 /// Ends the script with `code` after all processes that it has started.
 pub fn end(code: i32) -> ! {
     let started = STARTED.lock().map(|started| started.clone()).unwrap_or_default();
