Keep a request at its silent target until another one has answered

Callers saw: a 502, a 504 or another target's 500, although the target that had their request was sound, silent for a second or two, and went on in time. Cause: a repeatable request left its target after 0.45 of the time that was left, and a stream without its first event after 1.1 s, before any other target had answered, and also if no retry or no other target was left. Change: request/silence.rs waits for the answer. While the target is silent, the request is sent to a second one if a retry and a slot are left; the first answer counts, a failure of one attempt leaves the other running (NextStep::AwaitOther), and without either the request stays where it is until its deadline. A failure is attributed to the attempt that failed instead of the latest target. The silent target is still blamed, once, as one that is cut off must get no more requests; its next event ends the ejection, also in a stream that has begun. Ruled out: a longer limit, which only moves the moment at which the answer is lost.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -37,7 +37,7 @@
     channel_plan::{ChannelPlan, plan_channel},
     dispatch_queue::{DispatchQueue, WaitKey, WaitRefusal, WaitingRequest},
     event_stream::EventSplitter,
-    failure::{AttemptFailure, FailureContext, NextStep, decide_next_step},
+    failure::{AttemptFailure, FailureContext, NextStep, decide_next_step, may_run_beside},
     group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     outage_plan::{OutageStep, decide_during_outage},
--- a/crates/core/src/dispatch/failure.rs
+++ b/crates/core/src/dispatch/failure.rs
@@ -14,6 +14,8 @@
 /// Next step for a request after a failed attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextStep {
+    /// Wait for the answer of another target, at which an attempt is still under way.
+    AwaitOther,
     /// Send the request to another target.
     Retry,
     /// Tell the caller that the request was not run.
@@ -35,15 +37,27 @@
     pub run_limit: u32,
     /// Whether the retry budget allows another attempt.
     pub has_budget: bool,
+    /// Whether an attempt at another target is still under way.
+    pub is_other_pending: bool,
 }
 
 /// Highest number of targets that one request reaches, rejections included. Each attempt after the
 /// first one uses up a part of the retry budget that all requests of a service share.
 pub const MAX_ARRIVALS: u32 = 4;
 
+/// Returns whether a request that is unanswered at a silent target may be sent to another one while
+/// it stays where it is. `runs` and `arrivals` are those of [`FailureContext`], without the attempt
+/// that is under way.
+pub fn may_run_beside(repeat: RepeatRule, runs: u32, arrivals: u32, run_limit: u32) -> bool {
+    repeat.is_repeatable() && runs + 1 < run_limit && arrivals < MAX_ARRIVALS
+}
+
 /// Decides what follows a failed attempt. A request that may not be repeated is sent to another
 /// target only if it cannot have run in any attempt.
 pub fn decide_next_step(failure: AttemptFailure, context: &FailureContext) -> NextStep {
+    if context.is_other_pending {
+        return NextStep::AwaitOther;
+    }
     let may_have_run = failure == AttemptFailure::MayHaveRun || context.runs > 0;
     let may_run_again = if may_have_run {
         context.repeat.is_repeatable() && context.runs < context.run_limit
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -369,6 +369,7 @@
     arrivals: 1,
     run_limit: 1,
     has_budget: true,
+    is_other_pending: false,
 };
 const REPEATABLE: FailureContext = FailureContext {
     repeat: RepeatRule::Repeatable,
@@ -384,6 +385,12 @@
 test_cases! {
     fn check_step(failure: AttemptFailure, context: FailureContext, expected: NextStep);
     rejected_non_repeatable_request_is_retried: (AttemptFailure::NotRun, ONCE, NextStep::Retry);
+    request_is_reported_unknown_while_another_target_works_on_it:
+        (AttemptFailure::MayHaveRun,
+         FailureContext { is_other_pending: true, runs: 2, ..REPEATABLE }, NextStep::AwaitOther);
+    request_is_retried_while_another_target_works_on_it:
+        (AttemptFailure::NotRun, FailureContext { is_other_pending: true, ..REPEATABLE },
+         NextStep::AwaitOther);
     lost_non_repeatable_request_is_never_retried:
         (AttemptFailure::MayHaveRun, FailureContext { runs: 1, ..ONCE }, NextStep::ReportUnknown);
     rejection_after_a_possible_run_is_reported_as_unknown:
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -20,12 +20,15 @@
         body::{Body, Incoming},
     },
     sassafrasslip_core::{
-        dispatch::{AttemptFailure, ChannelPlan, RepeatRule, TargetEntry, plan_channel},
+        dispatch::{
+            AttemptFailure, ChannelPlan, RepeatRule, TargetEntry, plan_channel,
+            route_table::TeamRule,
+        },
         events::LogEvent::AttemptDecided,
         log_event,
     },
     sassafrasslip_platform::{AnswerHead, AttemptHead, decode_answer, encode_attempt},
-    std::{cell::Cell, future, result, time::Duration},
+    std::{cell::Cell, future, result, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -99,29 +102,34 @@
     }
 }
 
-/// Request of a caller, with the limits of one attempt.
-#[derive(Clone, Copy, Debug)]
-pub struct AttemptInput<'a> {
+/// Request of a caller as it is sent to targets.
+#[derive(Debug)]
+pub struct CallerRequest {
     /// Method, path and headers of the caller's request.
-    pub parts: &'a request::Parts,
+    pub parts: request::Parts,
     /// Complete body of the caller's request.
-    pub body: &'a Bytes,
+    pub body: Bytes,
     /// Request id that the caller chose, empty if none. A response with another id is not accepted.
-    pub request_id: &'a str,
+    pub id: String,
     /// Team that owns the caller's API key.
-    pub team: Option<&'a str>,
+    pub team: Option<Arc<TeamRule>>,
     /// Whether and how the request may be repeated.
     pub repeat: RepeatRule,
-    /// Number of the attempt, starting at 1.
-    pub number: u32,
     /// Configuration revision by which the request was routed.
     pub revision: u64,
+}
+
+/// Request of a caller, with the limits of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptInput<'a> {
+    /// What is sent.
+    pub request: &'a CallerRequest,
+    /// Number of the attempt, starting at 1.
+    pub number: u32,
     /// Id of the last event that was sent to the caller; `None` if the stream starts over.
     pub resume_after: Option<&'a str>,
     /// When the gateway must have answered the caller.
     pub deadline: Instant,
-    /// Until when the target must have sent the head of its response.
-    pub head_until: Instant,
 }
 
 /// Response whose head has been received and whose body can be read.
@@ -143,7 +151,7 @@
 }
 
 /// Next bytes of a body, or `None` at its end.
-type ReadResult = result::Result<Option<Bytes>, hyper::Error>;
+pub type ReadResult = result::Result<Option<Bytes>, hyper::Error>;
 
 impl OpenAnswer {
     /// Returns the next bytes of the body, or `None` at its end.
@@ -270,7 +278,7 @@
 /// # Errors
 ///
 /// Fails if the target has left or cannot be reached, rejects the request, closes the connection,
-/// does not answer by `head_until`, or sends a response with another request's id or a successful
+/// does not answer by the deadline, or sends a response with another request's id or a successful
 /// one without signature.
 pub async fn send(
     state: &GatewayState,
@@ -283,8 +291,10 @@
         target.map(|target| target.entry.clone())
     };
     let entry = entry.ok_or_else(|| AttemptError::unsent("target has left the instance list"))?;
-    let has_id = !input.request_id.is_empty();
-    let plan = plan_channel(input.repeat, input.body.len(), has_id);
+    let CallerRequest {
+        id, body, repeat, ..
+    } = input.request;
+    let plan = plan_channel(*repeat, body.len(), !id.is_empty());
     let pooled = match plan {
         ChannelPlan::Kept { longest_idle } => state.channels.take(lease.key, longest_idle),
         ChannelPlan::SingleUse => None,
@@ -301,14 +311,14 @@
     };
     let request = build_request(input, &entry)?;
     let started_at = Instant::now();
-    let sent = timeout_at(input.head_until, channel.exchange(request)).await;
+    let sent = timeout_at(input.deadline, channel.exchange(request)).await;
     let response = match sent {
         Err(_) => return Err(AttemptError::broken("no answer in time")),
         Ok(Err(error)) => return Err(channel_error(error, channel.is_used)),
         Ok(Ok(response)) => response,
     };
     let (parts, body) = response.into_parts();
-    let head = decode_answer(&parts, input.request_id);
+    let head = decode_answer(&parts, id);
     state.note_answer(lease.key, &head, started_at, Instant::now());
     let answer = OpenAnswer {
         lease,
@@ -366,16 +376,17 @@
     let head = AttemptHead {
         remaining,
         target: &entry.id,
-        team: input.team,
+        team: input.request.team.as_ref().map(|team| team.name.as_str()),
         resume_after: input.resume_after,
     };
-    let path = input.parts.uri.path_and_query();
+    let CallerRequest { parts, body, .. } = input.request;
+    let path = parts.uri.path_and_query();
     let request = Request::builder()
-        .method(input.parts.method.clone())
+        .method(parts.method.clone())
         .uri(path.map_or("/", |path| path.as_str()))
-        .body(Full::from(input.body.clone()));
+        .body(Full::from(body.clone()));
     let mut request = request.map_err(|error| AttemptError::unsent(error.to_string()))?;
-    *request.headers_mut() = encode_attempt(input.parts, &head);
+    *request.headers_mut() = encode_attempt(parts, &head);
     Ok(request)
 }
 
@@ -406,14 +417,14 @@
     });
     log_event!(
         AttemptDecided,
-        request_id = input.request_id,
+        request_id = input.request.id,
         attempt = input.number,
         service = entry.service,
         target = entry.id,
         availability_zone = entry.availability_zone,
         own_in_flight = own,
         peer_in_flight = peers,
-        revision = input.revision,
+        revision = input.request.revision,
         list_age_ms = state.list_age(Instant::now()).as_millis(),
         channel = if is_reused { "kept" } else { "new" }
     );
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -38,6 +38,8 @@
     pub retries: Counter,
     /// Requests whose connection ended before the head of an answer was sent.
     pub unanswered: Counter,
+    /// Requests whose target was silent for longer than the limit.
+    pub silences: Counter,
     /// Open connections of callers.
     pub connections: Gauge,
     /// Idle connections of callers that were closed because new ones waited.
@@ -79,6 +81,7 @@
             waits: duration_histogram(),
             retries: Counter::default(),
             unanswered: Counter::default(),
+            silences: Counter::default(),
             connections: Gauge::default(),
             closed_idle: Counter::default(),
             moved_streams: Counter::default(),
@@ -113,6 +116,9 @@
             );
             let retries = metrics.retries.clone();
             registry.register("gateway_retries", "Attempts after the first one", retries);
+            let silences = metrics.silences.clone();
+            let help = "Requests whose target was silent for longer than the limit";
+            registry.register("gateway_silences", help, silences);
             let unanswered = metrics.unanswered.clone();
             registry.register(
                 "gateway_unanswered",
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -8,13 +8,13 @@
 use {
     super::{
         channels::describe_exchange,
-        exchange::{AttemptError, OpenAnswer},
+        exchange::{AttemptError, OpenAnswer, ReadResult},
         reply::{CutError, LocalReply, ReplyBody},
-        request::RequestHandler,
+        request::{AttemptRecord, RequestHandler},
     },
     bytes::Bytes,
     futures_util::stream,
-    http::{StatusCode, header::CONTENT_LENGTH, response},
+    http::{StatusCode, header::CONTENT_LENGTH},
     hyper::Response,
     sassafrasslip_core::{
         dispatch::{EventSplitter, RepeatRule, TargetKey, event_stream::MAX_EVENT_BYTES},
@@ -29,17 +29,14 @@
 /// Silence after which a stream moves to another target if other targets of its service make
 /// progress. Callers leave after two seconds without an event, and another target needs a few
 /// hundred milliseconds to resume the stream.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
 
 /// Time in which another target must begin to answer a stream that moves to it from a slow rank or a
 /// silent target. It is as long as a pass with a slow rank may take.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1100);
 
 /// Interval at which the progress of other targets is checked again once the limit has passed.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Maximum age of an event of another target that counts as progress.
-const PROGRESS_WINDOW: Duration = Duration::from_millis(400);
+pub const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Description of a target that is silent while others make progress.
 const SILENCE_FAULT: &str = "target is silent";
@@ -67,12 +64,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection breaks, if the stream is malformed, if the target is silent while others
-/// make progress, or at the request's deadline.
-pub async fn start(
-    handler: &mut RequestHandler,
-    open: OpenAnswer,
-) -> Result<StartedStream, AttemptError> {
+/// Fails if the connection breaks, if the stream is malformed, or at the deadline.
+pub async fn start(open: OpenAnswer, deadline: Instant) -> Result<StartedStream, AttemptError> {
     let mut started = StartedStream {
         open,
         splitter: EventSplitter::default(),
@@ -80,18 +73,34 @@
         is_complete: false,
     };
     let StartedStream { open, splitter, .. } = &mut started;
-    match next_events(handler, open, splitter, SILENCE_LIMIT).await? {
-        StreamStep::Events(events) => started.first = events,
-        StreamStep::End => started.is_complete = true,
-        StreamStep::Silence => return Err(AttemptError::broken(SILENCE_FAULT)),
+    loop {
+        let read = timeout_at(deadline, open.next()).await;
+        let read = read.map_err(|_| deadline_error())?;
+        match split_events(open, splitter, read, false)? {
+            Some(StreamStep::Events(events)) => {
+                started.first = events;
+                return Ok(started);
+            }
+            Some(_) => {
+                started.is_complete = true;
+                return Ok(started);
+            }
+            None => {}
+        }
     }
-    handler.state.record_success(started.open.lease.key);
-    let elapsed = handler.sent_at().elapsed();
-    handler.state.record_first_answer(&handler.service, elapsed);
-    Ok(started)
 }
 
 impl StartedStream {
+    /// Returns the target that sends the stream.
+    pub fn target(&self) -> TargetKey {
+        self.open.lease.key
+    }
+
+    /// Returns whether the stream has brought an event.
+    pub fn has_event(&self) -> bool {
+        !self.first.is_empty()
+    }
+
     /// Converts to a response whose body forwards the events and moves to other targets as needed.
     pub fn into_response(self, mut handler: RequestHandler) -> Response<ReplyBody> {
         let parts = &self.open.parts;
@@ -156,11 +165,8 @@
                 }
                 Ok(StreamStep::End) => self.is_complete = true,
                 Ok(StreamStep::Silence) => {
-                    // A target that is cut off has to be ejected even if no other one can take its
-                    // streams.
                     if !needs_slot {
-                        let key = open.lease.key;
-                        handler.state.record_failure(key, Instant::now());
+                        handler.note_silence(since);
                     }
                     let events = self.leave_silent_target(handler).await;
                     // The caller leaves before another whole limit is over.
@@ -204,8 +210,9 @@
             return;
         };
         let last_id = String::from_utf8_lossy(last_id).into_owned();
-        let attempt = timeout(MOVE_TIMEOUT, handler.attempt_at(lease, Some(&last_id))).await;
-        self.end_move(handler, key, attempt.ok(), &last_id, "target is slow");
+        let previous = handler.current();
+        let attempt = timeout(MOVE_TIMEOUT, handler.resume_at(lease, &last_id, true)).await;
+        self.end_move(handler, previous, attempt.ok(), &last_id, "target is slow");
     }
 
     /// Moves the stream to another target after a silence. A sound target may be silent for a while
@@ -220,38 +227,39 @@
             return Bytes::new();
         };
         let last_id = String::from_utf8_lossy(last_id).into_owned();
-        let attempt = timeout(MOVE_TIMEOUT, handler.attempt_at(lease, Some(&last_id)));
+        let previous = handler.current();
+        let attempt = timeout(MOVE_TIMEOUT, handler.resume_at(lease, &last_id, true));
         let (attempt, events) = tokio::select! {
             biased;
             events = continued_events(open, &mut self.splitter) => (None, events),
             attempt = attempt => (attempt.ok(), Bytes::new()),
         };
-        self.end_move(handler, key, attempt, &last_id, SILENCE_FAULT);
+        self.end_move(handler, previous, attempt, &last_id, SILENCE_FAULT);
         if !events.is_empty() {
             handler.record_progress(key, Instant::now());
         }
         events
     }
 
-    /// Continues the stream at the other target if that has taken it over, and at the target of `key`
-    /// otherwise. `attempt` is `None` if the attempt at the other target was given up.
+    /// Continues the stream at the other target if that has taken it over, and with the attempt
+    /// `previous` otherwise. `attempt` is `None` if the attempt at the other target was given up.
     fn end_move(
         &mut self,
         handler: &mut RequestHandler,
-        key: TargetKey,
+        previous: Option<AttemptRecord>,
         attempt: Option<Result<OpenAnswer, ControlFlow<LocalReply>>>,
         last_id: &str,
         fault: &str,
     ) {
         match attempt {
-            Some(Ok(open)) if is_stream(&open.parts, &open) => {
+            Some(Ok(open)) if is_stream(&open) => {
                 handler.record_left_target();
                 self.restart_at(handler, open, last_id, fault);
             }
-            Some(Err(_)) => handler.return_to(key),
+            Some(Err(_)) => handler.return_to(previous),
             Some(Ok(_)) | None => {
                 handler.record_abandoned_attempt();
-                handler.return_to(key);
+                handler.return_to(previous);
             }
         }
     }
@@ -283,7 +291,7 @@
         error: &AttemptError,
     ) -> Result<(), CutError> {
         self.open = None;
-        let mut decision = handler.after_failure(error).await;
+        let mut decision = handler.after_failure(error, false).await;
         if handler.matched.route.repeat != RepeatRule::ResumableStream {
             return Err(self.abort(handler, "stream cannot be resumed"));
         }
@@ -292,15 +300,16 @@
             return Err(self.abort(handler, "events have no id"));
         };
         while decision.is_continue() {
-            decision = match handler.attempt(Some(&last_id)).await {
-                Ok(open) if is_stream(&open.parts, &open) => {
+            decision = match handler.resume(&last_id).await {
+                Ok(open) if is_stream(&open) => {
                     self.restart_at(handler, open, &last_id, &error.fault);
                     return Ok(());
                 }
                 Ok(open) => {
                     let fault = format!("target answered {} to a resumption", open.parts.status);
                     drop(open);
-                    handler.after_failure(&AttemptError::broken(fault)).await
+                    let error = AttemptError::broken(fault);
+                    handler.after_failure(&error, false).await
                 }
                 Err(decision) => decision,
             };
@@ -327,8 +336,16 @@
     }
 }
 
-fn is_stream(parts: &response::Parts, open: &OpenAnswer) -> bool {
-    parts.status.is_success() && open.head.is_event_stream
+fn deadline_error() -> AttemptError {
+    AttemptError {
+        blames_target: false,
+        ..AttemptError::broken("deadline passed")
+    }
+}
+
+/// Returns whether an answer is a stream of events.
+pub fn is_stream(open: &OpenAnswer) -> bool {
+    open.parts.status.is_success() && open.head.is_event_stream
 }
 
 /// Returns the next complete events, the end of the stream, or a silence of the target.
@@ -345,26 +362,42 @@
         let Some(read) = read_with_silence_limit(handler, open, check_at).await? else {
             return Ok(StreamStep::Silence);
         };
-        let Some(bytes) = read else {
-            if splitter.pending_bytes() > 0 {
-                return Err(AttemptError::closed(
-                    "stream ends in the middle of an event",
-                ));
+        match split_events(open, splitter, Ok(read), handler.has_begun())? {
+            Some(StreamStep::Events(events)) => {
+                handler.record_progress(key, Instant::now());
+                return Ok(StreamStep::Events(events));
             }
-            if open.ends_with_connection() && !handler.has_begun() {
-                return Err(AttemptError::closed("stream ends before its first event"));
-            }
-            return Ok(StreamStep::End);
-        };
-        let events = splitter.push(&bytes);
-        if splitter.pending_bytes() > MAX_EVENT_BYTES {
-            return Err(AttemptError::broken("event exceeds the size limit"));
+            Some(step) => return Ok(step),
+            None => {}
         }
-        if !events.is_empty() {
-            handler.record_progress(key, Instant::now());
-            return Ok(StreamStep::Events(events));
+    }
+}
+
+/// Adds what was read to the splitter and returns the complete events or the end of the stream;
+/// `None` if the bytes complete no event. `has_begun` says whether the target has sent events.
+fn split_events(
+    open: &OpenAnswer,
+    splitter: &mut EventSplitter,
+    read: ReadResult,
+    has_begun: bool,
+) -> Result<Option<StreamStep>, AttemptError> {
+    let read = read.map_err(|error| AttemptError::closed(describe_exchange(&error)))?;
+    let Some(bytes) = read else {
+        if splitter.pending_bytes() > 0 {
+            return Err(AttemptError::closed(
+                "stream ends in the middle of an event",
+            ));
+        }
+        if open.ends_with_connection() && !has_begun {
+            return Err(AttemptError::closed("stream ends before its first event"));
         }
+        return Ok(Some(StreamStep::End));
+    };
+    let events = splitter.push(&bytes);
+    if splitter.pending_bytes() > MAX_EVENT_BYTES {
+        return Err(AttemptError::broken("event exceeds the size limit"));
     }
+    Ok((!events.is_empty()).then_some(StreamStep::Events(events)))
 }
 
 /// Waits until a silent target completes events, which are returned, or ends its stream. Bytes that
@@ -403,16 +436,9 @@
         }
         let now = Instant::now();
         if now >= handler.deadline {
-            return Err(AttemptError {
-                blames_target: false,
-                ..AttemptError::broken("deadline passed")
-            });
+            return Err(deadline_error());
         }
-        let others_progress =
-            handler
-                .state
-                .has_other_progress(&handler.service, key, now - PROGRESS_WINDOW);
-        if others_progress && handler.reserve_move(now) {
+        if handler.has_other_progress(key, now) && handler.reserve_move(now) {
             return Ok(None);
         }
         check_at = now + SILENCE_CHECK_INTERVAL;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -1,22 +1,24 @@
 //! Handles one request of a caller: reads and routes it, makes attempts at targets, and answers it.
 
+mod silence;
+
 use {
     super::{
         admission::{self, AdmissionRefusal, AdmissionRequest, TargetLease},
-        exchange::{self, AttemptError, AttemptInput, OpenAnswer},
-        relay::{self, StartedStream},
+        exchange::{self, AttemptError, AttemptInput, CallerRequest, OpenAnswer},
+        relay::StartedStream,
         reply::{LocalReply, ReplyBody},
         state::GatewayState,
     },
     bytes::Bytes,
-    http::{StatusCode, header::CONTENT_LENGTH, request},
-    http_body_util::{BodyExt, Full, Limited},
+    http::{StatusCode, request},
+    http_body_util::{BodyExt, Limited},
     hyper::{Request, Response, body::Incoming},
     sassafrasslip_core::{
         dispatch::{
             AttemptFailure, CrashEvidence, FailureContext, NextStep, PromptPart, RepeatRule,
             RequestRestriction, RequestTraits, RouteMatch, RouteMiss, RouteTable, StoppingRequest,
-            TargetId, TargetKey, WaitingRequest, decide_next_step, failure::MAX_ARRIVALS,
+            TargetId, TargetKey, WaitingRequest, decide_next_step, may_run_beside,
             prompt_part::list_parts,
         },
         events::LogEvent::{
@@ -25,7 +27,7 @@
         ids::ServiceName,
         log_event,
     },
-    sassafrasslip_platform::{CallerHead, answer::forwarded_headers, decode_caller},
+    sassafrasslip_platform::{CallerHead, decode_caller},
     std::{mem, ops::ControlFlow, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
@@ -48,10 +50,6 @@
 /// response still reaches the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
-/// Share of the remaining time after which a target that does not answer a repeatable request is
-/// given up for another one. Streams have their own silence limit.
-const ATTEMPT_TIMEOUT_SHARE: f64 = 0.45;
-
 /// Smallest share of the route's timeout that a caller waits on its first try. A shorter timeout
 /// shows that the caller is retrying already.
 const FIRST_TRY_TIMEOUT_SHARE: f64 = 0.8;
@@ -159,16 +157,12 @@
     pub(super) deadline: Instant,
     /// The deadline as it was when the request arrived. A planned stop may move the other one.
     timeout_at: Instant,
-    parts: request::Parts,
+    request: Rc<CallerRequest>,
     caller: CallerHead,
-    body: Bytes,
     /// What identifies the request if it crashes targets.
     traits: RequestTraits,
-    /// Whether the latest attempt has brought the head of an answer.
-    has_head: bool,
-    /// When the latest attempt started, or when the request arrived if there was none.
-    latest_sent_at: Instant,
-    revision: u64,
+    /// Attempt to which a failure is attributed; `None` before the first one.
+    current: Option<AttemptRecord>,
     tried: Vec<TargetKey>,
     /// Number of attempts after which the request may have run.
     runs: u32,
@@ -180,14 +174,27 @@
     pub(super) first_event: Option<Duration>,
     /// Longest pause between events of the stream so far.
     pub(super) longest_pause: Duration,
-    /// Whether the latest attempt has brought an event of a stream.
-    has_begun: bool,
     /// Whether an attempt is under way, so that the request may run.
     is_sent: bool,
     /// Whether the outcome has been counted and logged.
     has_outcome: bool,
 }
 
+/// Attempt at a target, and how far it has come.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptRecord {
+    key: TargetKey,
+    /// Number of the attempt, starting at 1.
+    number: u32,
+    sent_at: Instant,
+    /// Whether it has brought the head of an answer.
+    has_head: bool,
+    /// Whether it has brought an event of a stream.
+    has_begun: bool,
+    /// Whether its target has been blamed for a silence that has not ended.
+    is_silent: bool,
+}
+
 /// How the work on a request has ended, apart from the events of its stream that follow.
 enum RequestOutcome {
     /// With the whole answer of a target.
@@ -229,6 +236,14 @@
         state.record_first_try(&service, arrived_at);
         let deadline = arrived_at + caller_timeout.saturating_sub(ANSWER_MARGIN);
         let traits = request_traits(&parts, &caller, &body);
+        let request = CallerRequest {
+            parts,
+            body,
+            id: caller.request_id.clone().unwrap_or_default(),
+            team: matched.team.clone(),
+            repeat: matched.route.repeat,
+            revision: table.revision,
+        };
         Self {
             state,
             service,
@@ -236,13 +251,10 @@
             deadline,
             timeout_at: deadline,
             matched,
-            parts,
+            request: Rc::new(request),
             caller,
-            body,
             traits,
-            has_head: false,
-            latest_sent_at: arrived_at,
-            revision: table.revision,
+            current: None,
             tried: Vec::new(),
             runs: 0,
             attempts: 0,
@@ -250,7 +262,6 @@
             has_reserved_retry: false,
             first_event: None,
             longest_pause: Duration::ZERO,
-            has_begun: false,
             is_sent: false,
             has_outcome: false,
         }
@@ -258,7 +269,7 @@
 
     /// Returns the request id that the caller chose; empty if it chose none.
     pub fn request_id(&self) -> &str {
-        self.caller.request_id.as_deref().unwrap_or_default()
+        &self.request.id
     }
 
     /// Returns when the first attempt started, or the arrival of the request if there was none.
@@ -293,26 +304,12 @@
     /// answer of a target that has reported a server error.
     async fn run(&mut self, failure: &mut Option<Response<ReplyBody>>) -> RequestOutcome {
         loop {
-            let open = match self.attempt(None).await {
-                Ok(open) => open,
-                Err(ControlFlow::Continue(())) => continue,
-                Err(ControlFlow::Break(answer)) => return RequestOutcome::Failed(answer),
+            let answer = match self.acquire_target().await {
+                Ok(lease) => self.await_answer(lease, failure).await,
+                Err(refusal) => return RequestOutcome::Failed(refusal),
             };
-            let is_stream = open.head.is_event_stream && open.parts.status.is_success();
-            if is_stream && self.matched.route.repeat.is_stream() {
-                match relay::start(self, open).await {
-                    Ok(started) => return RequestOutcome::Started(Box::new(started)),
-                    Err(error) => match self.after_failure(&error).await {
-                        ControlFlow::Continue(()) => continue,
-                        ControlFlow::Break(answer) => return RequestOutcome::Failed(answer),
-                    },
-                }
-            }
-            match self.collect(open).await {
-                Ok(ControlFlow::Break(response)) => return RequestOutcome::Answered(response),
-                // Another target may succeed where this one reported a server error. The error is
-                // kept and forwarded if no other target answers.
-                Ok(ControlFlow::Continue(response)) => *failure = Some(response),
+            match answer {
+                Ok(outcome) => return outcome,
                 Err(ControlFlow::Continue(())) => {}
                 Err(ControlFlow::Break(answer)) => return RequestOutcome::Failed(answer),
             }
@@ -348,16 +345,12 @@
         LocalReply::not_run(STOP_REASON, STOP_RETRY_DELAY)
     }
 
-    /// Waits for a target and makes one attempt there. With `resume_after`, the attempt resumes a
-    /// stream after the event with that id.
+    /// Waits for a target.
     ///
     /// # Errors
     ///
-    /// Fails with the next step: another attempt, or the response that ends the request.
-    pub(super) async fn attempt(
-        &mut self,
-        resume_after: Option<&str>,
-    ) -> Result<OpenAnswer, ControlFlow<LocalReply>> {
+    /// Fails with the response that ends the request.
+    async fn acquire_target(&mut self) -> Result<TargetLease, LocalReply> {
         let request = AdmissionRequest {
             service: self.service.clone(),
             waiting_request: self.waiting_request(),
@@ -366,32 +359,70 @@
         let acquired = tokio::select! {
             biased;
             restriction = self.state.wait_for_restriction(&self.traits) => {
-                return Err(ControlFlow::Break(self.restricted(&restriction)));
+                return Err(self.restricted(&restriction));
             }
             acquired = admission::acquire(&self.state, request) => acquired,
         };
-        let lease = acquired.map_err(|refusal| ControlFlow::Break(self.refused(&refusal)))?;
-        self.attempt_at(lease, resume_after).await
+        acquired.map_err(|refusal| self.refused(&refusal))
     }
 
-    /// Makes one attempt at the target of a lease. With `resume_after`, the attempt resumes a
-    /// stream after the event with that id.
+    /// Waits for a target and resumes a stream there after the event with the id `resume_after`.
     ///
     /// # Errors
     ///
     /// Fails with the next step: another attempt, or the response that ends the request.
-    pub(super) async fn attempt_at(
+    pub(super) async fn resume(
+        &mut self,
+        resume_after: &str,
+    ) -> Result<OpenAnswer, ControlFlow<LocalReply>> {
+        let lease = self.acquire_target().await.map_err(ControlFlow::Break)?;
+        self.resume_at(lease, resume_after, false).await
+    }
+
+    /// Resumes a stream at the target of a lease after the event with the id `resume_after`.
+    /// `is_other_pending` says whether its earlier target still works on it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the next step: another attempt, or the response that ends the request.
+    pub(super) async fn resume_at(
         &mut self,
         lease: TargetLease,
-        resume_after: Option<&str>,
+        resume_after: &str,
+        is_other_pending: bool,
     ) -> Result<OpenAnswer, ControlFlow<LocalReply>> {
-        let now = Instant::now();
+        let record = self.begin_attempt(lease.key, Instant::now());
+        let record = record.map_err(ControlFlow::Break)?;
+        let input = AttemptInput {
+            request: &self.request,
+            number: record.number,
+            resume_after: Some(resume_after),
+            deadline: self.deadline,
+        };
+        match exchange::send(&self.state, lease, &input).await {
+            Ok(open) => {
+                self.current = Some(AttemptRecord {
+                    has_head: true,
+                    ..record
+                });
+                Ok(open)
+            }
+            Err(error) => Err(self.after_failure(&error, is_other_pending).await),
+        }
+    }
+
+    /// Records the start of an attempt, which becomes the current one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the response that ends the request if it may not be sent any more.
+    fn begin_attempt(&mut self, key: TargetKey, now: Instant) -> Result<AttemptRecord, LocalReply> {
         // The request may have been queued since before the stop.
         if let Some(refusal) = self.stop_refusal(now) {
-            return Err(ControlFlow::Break(refusal));
+            return Err(refusal);
         }
         let started = self.state.start_request(&self.traits, now);
-        started.map_err(|restriction| ControlFlow::Break(self.restricted(&restriction)))?;
+        started.map_err(|restriction| self.restricted(&restriction))?;
         if self.first_sent_at.is_none() {
             self.first_sent_at = Some(now);
             let waited = now.saturating_duration_since(self.arrived_at);
@@ -400,31 +431,18 @@
             self.state.metrics.retries.inc();
         }
         self.attempts += 1;
-        self.has_begun = false;
         self.is_sent = true;
-        self.has_head = false;
-        self.latest_sent_at = now;
-        let key = lease.key;
         self.tried.push(key);
-        let input = AttemptInput {
-            parts: &self.parts,
-            body: &self.body,
-            request_id: self.request_id(),
-            team: self.matched.team.as_ref().map(|team| team.name.as_str()),
-            repeat: self.matched.route.repeat,
+        let record = AttemptRecord {
+            key,
             number: self.attempts,
-            revision: self.revision,
-            resume_after,
-            deadline: self.deadline,
-            head_until: self.head_until(now),
+            sent_at: now,
+            has_head: false,
+            has_begun: false,
+            is_silent: false,
         };
-        match exchange::send(&self.state, lease, &input).await {
-            Ok(open) => {
-                self.has_head = true;
-                Ok(open)
-            }
-            Err(error) => Err(self.after_failure(&error).await),
-        }
+        self.current = Some(record);
+        Ok(record)
     }
 
     /// Takes a slot at another target for a stream that is held up by a slow rank; `None` if the
@@ -462,27 +480,35 @@
         self.runs += 1;
     }
 
-    /// Returns whether the latest attempt has brought an event of a stream.
+    /// Returns the attempt to which a failure is attributed.
+    pub(super) fn current(&self) -> Option<AttemptRecord> {
+        self.current
+    }
+
+    /// Returns whether the current attempt has brought an event of a stream.
     pub(super) fn has_begun(&self) -> bool {
-        self.has_begun
+        self.current.is_some_and(|current| current.has_begun)
     }
 
     /// Records that a target has sent events of the stream at `now`.
     pub(super) fn record_progress(&mut self, key: TargetKey, now: Instant) {
-        if !mem::replace(&mut self.has_begun, true) {
-            self.state.record_answer(&self.traits, now);
+        if let Some(current) = &mut self.current {
+            if !mem::replace(&mut current.has_begun, true) {
+                self.state.record_answer(&self.traits, now);
+            }
+            if mem::take(&mut current.is_silent) {
+                self.state.record_success(key);
+            }
         }
         self.state.record_progress(key, now);
     }
 
-    /// Records that the request goes on at a target after an attempt at another one has failed.
-    /// Failures are attributed to the latest target.
-    pub(super) fn return_to(&mut self, key: TargetKey) {
+    /// Records that the stream goes on with an earlier attempt after one at another target has
+    /// ended.
+    pub(super) fn return_to(&mut self, record: Option<AttemptRecord>) {
         self.has_reserved_retry = false;
-        self.has_begun = true;
-        self.has_head = true;
-        self.tried.retain(|tried| *tried != key);
-        self.tried.push(key);
+        self.is_sent = true;
+        self.current = record;
     }
 
     /// Returns whether the caller has enough time for a retry after a refusal. A caller that is
@@ -511,44 +537,37 @@
         }
     }
 
-    fn head_until(&self, now: Instant) -> Instant {
-        let route = &self.matched.route;
-        let left = self.deadline.saturating_duration_since(now);
-        let may_repeat = route.repeat.is_repeatable() && self.runs + 1 < route.attempts;
-        if may_repeat && !route.repeat.is_stream() {
-            now + left.mul_f64(ATTEMPT_TIMEOUT_SHARE)
-        } else {
-            self.deadline
-        }
-    }
-
     /// Takes a retry from the budget in advance, to move the stream to another target; returns
     /// whether there was one. A stream that cannot move is not aborted for its target's silence.
     pub(super) fn reserve_move(&mut self, now: Instant) -> bool {
         let route = &self.matched.route;
         let may_move = route.repeat == RepeatRule::ResumableStream
-            && self.runs + 1 < route.attempts
-            && self.attempts < MAX_ARRIVALS;
+            && may_run_beside(route.repeat, self.runs, self.attempts, route.attempts);
         // A retry that was reserved for a move that found no target is still there.
         self.has_reserved_retry =
             may_move && (self.has_reserved_retry || self.state.try_spend_retry(&self.service, now));
         self.has_reserved_retry
     }
 
-    /// Records a failed attempt and decides the next step: another attempt, or the response that
-    /// ends the request.
-    pub(super) async fn after_failure(&mut self, error: &AttemptError) -> ControlFlow<LocalReply> {
-        if error.is_closed && !self.has_begun {
+    /// Records the failure of the current attempt and decides the next step: another attempt, or
+    /// the response that ends the request. While an attempt at another target is pending, the
+    /// request goes on with that one.
+    pub(super) async fn after_failure(
+        &mut self,
+        error: &AttemptError,
+        is_other_pending: bool,
+    ) -> ControlFlow<LocalReply> {
+        let current = self.current;
+        if error.is_closed && !self.has_begun() {
             self.check_crash().await;
         }
         let now = Instant::now();
         if error.failure == AttemptFailure::MayHaveRun {
             self.runs += 1;
         }
-        self.is_sent = false;
-        let target = self.tried.last().copied();
-        if let Some(key) = target {
-            self.note_failure(key, error, now);
+        self.is_sent = is_other_pending;
+        if let Some(current) = current {
+            self.note_failure(current.key, error, now);
         }
         let is_late = now >= self.deadline;
         let restriction = self.state.request_restriction(&self.traits, now);
@@ -559,22 +578,24 @@
             runs: self.runs,
             arrivals: self.attempts,
             run_limit: route.attempts,
-            has_budget: !is_late
+            is_other_pending,
+            has_budget: !is_other_pending
+                && !is_late
                 && restriction.is_none()
                 && (has_reserved || self.state.try_spend_retry(&self.service, now)),
         };
         let next = decide_next_step(error.failure, &context);
-        let name = target.and_then(|key| self.target_name(key));
+        let name = current.and_then(|current| self.target_name(current.key));
         let retries = self.state.retry_status(&self.service, now);
         log_event!(
             AttemptFailed,
             request_id = self.request_id(),
-            attempt = self.attempts,
+            attempt = current.map_or(0, |current| current.number),
             target = name.as_deref().unwrap_or("left"),
             failure = format_args!("{:?}", error.failure),
             fault = error.fault,
-            head = self.has_head,
-            begun = self.has_begun,
+            head = current.is_some_and(|current| current.has_head),
+            begun = current.is_some_and(|current| current.has_begun),
             parts = list_parts(&self.traits.shared_parts),
             own_part = list_parts(self.caller.own_part.as_slice()),
             request = self.traits.whole,
@@ -590,7 +611,7 @@
             next = format_args!("{next:?}")
         );
         match next {
-            NextStep::Retry => ControlFlow::Continue(()),
+            NextStep::AwaitOther | NextStep::Retry => ControlFlow::Continue(()),
             NextStep::RefuseNotRun => {
                 if let Some(restriction) = restriction {
                     return ControlFlow::Break(self.restricted(&restriction));
@@ -629,17 +650,19 @@
         roster.get(key).map(|target| target.entry.id.clone())
     }
 
-    /// Checks whether the target of the latest attempt has crashed, which makes the request and the
-    /// shared parts of its prompt suspects.
+    /// Checks whether the target of the current attempt has crashed, which makes the request and
+    /// the shared parts of its prompt suspects.
     async fn check_crash(&self) {
-        let evidence = match self.has_head {
+        let Some(current) = self.current else {
+            return;
+        };
+        let evidence = match current.has_head {
             true => CrashEvidence::Begun,
-            false => CrashEvidence::WaitingSince(self.latest_sent_at),
+            false => CrashEvidence::WaitingSince(current.sent_at),
         };
-        if let Some(key) = self.tried.last() {
-            let (id, traits) = (self.request_id(), &self.traits);
-            self.state.check_crash(*key, id, traits, evidence).await;
-        }
+        let (id, traits) = (self.request_id(), &self.traits);
+        let checked = self.state.check_crash(current.key, id, traits, evidence);
+        checked.await;
     }
 
     fn restricted(&self, restriction: &RequestRestriction) -> LocalReply {
@@ -660,44 +683,6 @@
         LocalReply::not_run(refusal.reason, refusal.refusal.retry_after)
     }
 
-    async fn collect(
-        &mut self,
-        open: OpenAnswer,
-    ) -> Result<ControlFlow<Response<ReplyBody>, Response<ReplyBody>>, ControlFlow<LocalReply>>
-    {
-        let key = open.lease.key;
-        let until = self.head_until(Instant::now());
-        let collected = open.collect(&self.state, until).await;
-        let (parts, body) = match collected {
-            Ok(collected) => collected,
-            Err(error) => return Err(self.after_failure(&error).await),
-        };
-        let status = parts.status;
-        let mut response = Response::new(ReplyBody::Whole(Full::from(body)));
-        *response.headers_mut() = forwarded_headers(&parts.headers);
-        response.headers_mut().remove(CONTENT_LENGTH);
-        *response.status_mut() = status;
-        if status.is_server_error() && self.matched.route.repeat.is_repeatable() {
-            self.state.record_error_answer(key);
-            let error = AttemptError {
-                blames_target: false,
-                ..AttemptError::broken(format!("target failed with {status}"))
-            };
-            if self.after_failure(&error).await.is_continue() {
-                return Ok(ControlFlow::Continue(response));
-            }
-        } else {
-            self.state.record_success(key);
-            if status.is_success() {
-                self.state.record_answer(&self.traits, Instant::now());
-            }
-            let elapsed = self.sent_at().elapsed();
-            self.state.record_first_answer(&self.service, elapsed);
-        }
-        self.record_answered(status);
-        Ok(ControlFlow::Break(response))
-    }
-
     /// Records that the caller gets the response of a target, and logs its timing.
     pub(super) fn record_answered(&mut self, status: StatusCode) {
         self.has_outcome = true;
