Keep a stream at its silent target until another one has sent an event

Callers saw: a stream that was cut, or got no more events until its deadline, although its silent target went on. Cause: a move ended the attempt at the earlier target as soon as the other one had sent the head of an answer. A target that then breaks off or sends nothing uses up the last attempt of the route. Evidence: stream_leaves_its_silent_target_for_one_that_breaks_off_after_the_head and stream_leaves_its_silent_target_for_one_that_sends_no_events. Change: a move from a silent or slow target waits for the first events of the resumption, within the same timeout.

--- a/crates/core/src/dispatch/event_stream.rs
+++ b/crates/core/src/dispatch/event_stream.rs
@@ -42,6 +42,15 @@
         self.pending.len()
     }
 
+    /// Returns a splitter for the answer of a target that resumes the stream after the last complete
+    /// event.
+    pub fn resumed(&self) -> Self {
+        Self {
+            pending: BytesMut::new(),
+            last_id: self.last_id.clone(),
+        }
+    }
+
     /// Discards the incomplete event, because another target sends it again.
     pub fn restart(&mut self) {
         self.pending.clear();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 
 use {
     super::{
+        admission::TargetLease,
         channels::describe_exchange,
         exchange::{AttemptError, OpenAnswer, ReadResult},
         reply::{CutError, LocalReply, ReplyBody},
@@ -31,8 +32,8 @@
 /// hundred milliseconds to resume the stream.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
 
-/// Time in which another target must begin to answer a stream that moves to it from a slow rank or a
-/// silent target. It is as long as a pass with a slow rank may take.
+/// Time in which another target must send the first event of a stream that moves to it from a slow
+/// rank or a silent target. It is as long as a pass with a slow rank may take.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1100);
 
 /// Interval at which the progress of other targets is checked again once the limit has passed.
@@ -65,10 +66,14 @@
 /// # Errors
 ///
 /// Fails if the connection breaks, if the stream is malformed, or at the deadline.
-pub async fn start(open: OpenAnswer, deadline: Instant) -> Result<StartedStream, AttemptError> {
+pub async fn start(
+    open: OpenAnswer,
+    splitter: EventSplitter,
+    deadline: Instant,
+) -> Result<StartedStream, AttemptError> {
     let mut started = StartedStream {
         open,
-        splitter: EventSplitter::default(),
+        splitter,
         first: Bytes::new(),
         is_complete: false,
     };
@@ -110,7 +115,7 @@
         let status = parts.status;
         handler.first_event = Some(handler.arrived_at.elapsed());
         let relay = StreamRelay {
-            first: Some(self.first),
+            first: Some(self.first).filter(|first| !first.is_empty()),
             is_complete: self.is_complete,
             open: Some(self.open),
             splitter: self.splitter,
@@ -132,6 +137,7 @@
 }
 
 struct StreamRelay {
+    /// First events of the stream or of its resumption that the caller has not got yet.
     first: Option<Bytes>,
     is_complete: bool,
     open: Option<OpenAnswer>,
@@ -141,14 +147,17 @@
 
 impl StreamRelay {
     async fn next(&mut self, handler: &mut RequestHandler) -> Result<Option<Bytes>, CutError> {
-        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
-            return Ok(Some(first));
-        }
         // Includes the time of a move to another target, which the caller sees as a pause.
         let waiting_since = Instant::now();
         let mut needs_slot = false;
         while !self.is_complete {
-            self.leave_slow_target(handler).await;
+            if self.first.is_none() {
+                self.leave_slow_target(handler).await;
+            }
+            if let Some(first) = self.first.take() {
+                handler.longest_pause = handler.longest_pause.max(waiting_since.elapsed());
+                return Ok(Some(first));
+            }
             let Some(open) = &mut self.open else {
                 return Err(self.abort(handler, "no target"));
             };
@@ -200,7 +209,7 @@
     }
 
     /// Moves the stream to another target if a slow rank holds it up. It goes on at the slow rank
-    /// until the other target has answered, so that a failed move does not end a sound stream.
+    /// until the other target has sent an event, so that a failed move does not end a sound stream.
     async fn leave_slow_target(&mut self, handler: &mut RequestHandler) {
         let (Some(open), Some(last_id)) = (&self.open, self.splitter.last_id()) else {
             return;
@@ -211,13 +220,14 @@
         };
         let last_id = String::from_utf8_lossy(last_id).into_owned();
         let previous = handler.current();
-        let attempt = timeout(MOVE_TIMEOUT, handler.resume_at(lease, &last_id, true)).await;
+        let resumed = resume_beside(handler, lease, self.splitter.resumed(), &last_id);
+        let attempt = timeout(MOVE_TIMEOUT, resumed).await;
         self.end_move(handler, previous, attempt.ok(), &last_id, "target is slow");
     }
 
     /// Moves the stream to another target after a silence. A sound target may be silent for a while
-    /// and go on, so that the stream stays with it until the other target has answered, and goes on
-    /// with whichever is first. Returns the events with which the silent target has gone on, if any.
+    /// and go on, so that the stream stays with it until the other target has sent an event, and goes
+    /// on with whichever is first. Returns the events with which the silent target has gone on, if any.
     async fn leave_silent_target(&mut self, handler: &mut RequestHandler) -> Bytes {
         let (Some(open), Some(last_id)) = (&mut self.open, self.splitter.last_id()) else {
             return Bytes::new();
@@ -228,7 +238,8 @@
         };
         let last_id = String::from_utf8_lossy(last_id).into_owned();
         let previous = handler.current();
-        let attempt = timeout(MOVE_TIMEOUT, handler.resume_at(lease, &last_id, true));
+        let resumed = resume_beside(handler, lease, self.splitter.resumed(), &last_id);
+        let attempt = timeout(MOVE_TIMEOUT, resumed);
         let (attempt, events) = tokio::select! {
             biased;
             events = continued_events(open, &mut self.splitter) => (None, events),
@@ -247,17 +258,23 @@
         &mut self,
         handler: &mut RequestHandler,
         previous: Option<AttemptRecord>,
-        attempt: Option<Result<OpenAnswer, ControlFlow<LocalReply>>>,
+        attempt: Option<Result<Option<StartedStream>, ControlFlow<LocalReply>>>,
         last_id: &str,
         fault: &str,
     ) {
         match attempt {
-            Some(Ok(open)) if is_stream(&open) => {
+            Some(Ok(Some(started))) => {
                 handler.record_left_target();
-                self.restart_at(handler, open, last_id, fault);
+                if started.has_event() {
+                    handler.record_progress(started.target(), Instant::now());
+                }
+                self.restart_at(handler, started.open, last_id, fault);
+                self.splitter = started.splitter;
+                self.is_complete = started.is_complete;
+                self.first = Some(started.first).filter(|first| !first.is_empty());
             }
             Some(Err(_)) => handler.return_to(previous),
-            Some(Ok(_)) | None => {
+            Some(Ok(None)) | None => {
                 handler.record_abandoned_attempt();
                 handler.return_to(previous);
             }
@@ -336,6 +353,25 @@
     }
 }
 
+/// Resumes a stream at the target of a lease while another one works on it, and waits for the first
+/// events. The head of the answer alone does not show that the target goes on with the stream.
+/// Returns no stream if the answer is none.
+async fn resume_beside(
+    handler: &mut RequestHandler,
+    lease: TargetLease,
+    splitter: EventSplitter,
+    last_id: &str,
+) -> Result<Option<StartedStream>, ControlFlow<LocalReply>> {
+    let open = handler.resume_at(lease, last_id, true).await?;
+    if !is_stream(&open) {
+        return Ok(None);
+    }
+    match start(open, splitter, handler.deadline).await {
+        Ok(started) => Ok(Some(started)),
+        Err(error) => Err(handler.after_failure(&error, true).await),
+    }
+}
+
 fn deadline_error() -> AttemptError {
     AttemptError {
         blames_target: false,
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -20,7 +20,7 @@
     http_body_util::Full,
     hyper::Response,
     sassafrasslip_core::{
-        dispatch::{TargetKey, may_run_beside},
+        dispatch::{EventSplitter, TargetKey, may_run_beside},
         events::LogEvent::TargetSilent,
         log_event,
     },
@@ -275,7 +275,7 @@
     let open = exchange::send(state, lease, &input).await?;
     head_at.set(Some(Instant::now()));
     if input.request.repeat.is_stream() && relay::is_stream(&open) {
-        let started = relay::start(open, input.deadline).await?;
+        let started = relay::start(open, EventSplitter::default(), input.deadline).await?;
         return Ok(TargetAnswer::Stream(Box::new(started)));
     }
     let key = open.lease.key;
