Queue for a second target while the first one is silent

Callers saw: a 504 for a repeatable request of a target that hangs, although another target served other requests all the while. Cause: the second attempt took a slot only if one was free at one of the checks, every 250 ms. While requests wait, each slot that becomes free goes to the queue at once. Evidence: request_of_a_hanging_target_gets_no_slot_beside_a_queue. Change: the request waits in the queue of its service by its priority, and stays at the silent target meanwhile. The retry is spent when the slot is there.

--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -351,11 +351,7 @@
     ///
     /// Fails with the response that ends the request.
     async fn acquire_target(&mut self) -> Result<TargetLease, LocalReply> {
-        let request = AdmissionRequest {
-            service: self.service.clone(),
-            waiting_request: self.waiting_request(),
-            tried: self.tried.clone(),
-        };
+        let request = self.admission_request();
         let acquired = tokio::select! {
             biased;
             restriction = self.state.wait_for_restriction(&self.traits) => {
@@ -366,6 +362,14 @@
         acquired.map_err(|refusal| self.refused(&refusal))
     }
 
+    fn admission_request(&self) -> AdmissionRequest {
+        AdmissionRequest {
+            service: self.service.clone(),
+            waiting_request: self.waiting_request(),
+            tried: self.tried.clone(),
+        }
+    }
+
     /// Waits for a target and resumes a stream there after the event with the id `resume_after`.
     ///
     /// # Errors
@@ -566,10 +570,10 @@
             self.runs += 1;
         }
         self.is_sent = is_other_pending;
+        let is_late = now >= self.deadline;
         if let Some(current) = current {
             self.note_failure(current.key, error, now);
         }
-        let is_late = now >= self.deadline;
         let restriction = self.state.request_restriction(&self.traits, now);
         let has_reserved = mem::take(&mut self.has_reserved_retry);
         let route = &self.matched.route;
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -54,6 +54,9 @@
     answer: LocalBoxFuture<'a, exchange::Result<TargetAnswer>>,
 }
 
+/// Wait for a slot at another target, in the queue of the service.
+type PendingLease<'a> = LocalBoxFuture<'a, admission::Result<TargetLease>>;
+
 impl PendingAttempt<'_> {
     fn record(&self) -> AttemptRecord {
         AttemptRecord {
@@ -81,8 +84,10 @@
         let first = self.start_attempt(&state, &request, lease);
         let mut first = first.map_err(ControlFlow::Break)?;
         let mut second: Option<PendingAttempt<'_>> = None;
+        let mut waiting: Option<PendingLease<'_>> = None;
         loop {
-            let check_at = first.check_at.filter(|_| second.is_none());
+            let is_alone = second.is_none() && waiting.is_none();
+            let check_at = first.check_at.filter(|_| is_alone);
             let (result, ended) = tokio::select! {
                 biased;
                 result = first.answer.as_mut() => match second.take() {
@@ -94,7 +99,15 @@
                     (result, ended)
                 }
                 () = sleep_until(check_at.unwrap_or(self.deadline)), if check_at.is_some() => {
-                    second = self.review_silence(&state, &request, &mut first);
+                    if self.review_silence(&mut first) {
+                        let request = self.admission_request();
+                        waiting = Some(admission::acquire(&state, request).boxed_local());
+                    }
+                    continue;
+                }
+                lease = lease_of(&mut waiting) => {
+                    waiting = None;
+                    second = self.start_beside(&state, &request, &mut first, lease);
                     continue;
                 }
             };
@@ -158,23 +171,22 @@
         may_run_beside(route.repeat, self.runs, self.attempts, route.attempts).then_some(at)
     }
 
-    /// Starts an attempt at another target if the one of `first` is silent and a retry is left.
-    fn review_silence<'a>(
-        &mut self,
-        state: &'a Rc<GatewayState>,
-        request: &'a CallerRequest,
-        first: &mut PendingAttempt<'_>,
-    ) -> Option<PendingAttempt<'a>> {
+    /// Returns whether the target of `first` is silent, so that the request waits for a slot at another
+    /// one as well.
+    fn review_silence(&mut self, first: &mut PendingAttempt<'_>) -> bool {
         let now = Instant::now();
         first.check_at = Some(now + SILENCE_CHECK_INTERVAL);
-        if request.repeat.is_stream() {
-            let limit_at = first.head_at.get()? + SILENCE_LIMIT;
+        if self.request.repeat.is_stream() {
+            let Some(head_at) = first.head_at.get() else {
+                return false;
+            };
+            let limit_at = head_at + SILENCE_LIMIT;
             if now < limit_at {
                 first.check_at = Some(limit_at);
-                return None;
+                return false;
             }
             if !self.has_other_progress(first.record.key, now) {
-                return None;
+                return false;
             }
         }
         if !first.record.is_silent {
@@ -182,7 +194,20 @@
             self.note_silence(first.record.sent_at);
             first.record.is_silent = true;
         }
-        let lease = admission::acquire_for_move(&self.state, &self.service, &self.tried)?;
+        true
+    }
+
+    /// Starts an attempt at the target of a lease beside the silent one of `first` if a retry is left.
+    fn start_beside<'a>(
+        &mut self,
+        state: &'a Rc<GatewayState>,
+        request: &'a CallerRequest,
+        first: &mut PendingAttempt<'_>,
+        lease: admission::Result<TargetLease>,
+    ) -> Option<PendingAttempt<'a>> {
+        let now = Instant::now();
+        first.check_at = Some(now + SILENCE_CHECK_INTERVAL);
+        let lease = lease.ok()?;
         if !self.state.try_spend_retry(&self.service, now) {
             return None;
         }
@@ -296,6 +321,14 @@
     }
 }
 
+/// Waits for the end of a wait for a slot; never returns if there is none.
+async fn lease_of(waiting: &mut Option<PendingLease<'_>>) -> admission::Result<TargetLease> {
+    match waiting {
+        Some(waiting) => waiting.as_mut().await,
+        None => future::pending().await,
+    }
+}
+
 fn forwarded_response(parts: &response::Parts, body: Bytes) -> Response<ReplyBody> {
     let mut response = Response::new(ReplyBody::Whole(Full::from(body)));
     *response.headers_mut() = forwarded_headers(&parts.headers);
