Blame a target once for a request that it does not answer

Callers saw: refusals, because one unanswered request ejected a target. Cause: a silent target was blamed when the silence was noticed, and again when the same request reached its deadline; two failures in a row eject. Evidence: single_unanswered_request_ejects_its_target. Change: the end of the request at its deadline is no second failure of a target that is known to be silent. A broken connection still is one.

--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -571,7 +571,8 @@
         }
         self.is_sent = is_other_pending;
         let is_late = now >= self.deadline;
-        if let Some(current) = current {
+        // A silence that lasts until the deadline has been blamed on the target when it was noticed.
+        if let Some(current) = current.filter(|current| !(is_late && current.is_silent)) {
             self.note_failure(current.key, error, now);
         }
         let restriction = self.state.request_restriction(&self.traits, now);
