--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -351,11 +351,7 @@
     ///
     /// Fails with the response that ends the request.
     async fn acquire_target(&mut self) -> Result<TargetLease, LocalReply> {
-        let request = AdmissionRequest {
-            service: self.service.clone(),
-            waiting_request: self.waiting_request(),
-            tried: self.tried.clone(),
-        };
+        let request = self.admission_request();
         let acquired = tokio::select! {
             biased;
             restriction = self.state.wait_for_restriction(&self.traits) => {
@@ -366,6 +362,14 @@
         acquired.map_err(|refusal| self.refused(&refusal))
     }
 
+    fn admission_request(&self) -> AdmissionRequest {
+        AdmissionRequest {
+            service: self.service.clone(),
+            waiting_request: self.waiting_request(),
+            tried: self.tried.clone(),
+        }
+    }
+
     /// Waits for a target and resumes a stream there after the event with the id `resume_after`.
     ///
     /// # Errors
@@ -566,10 +570,11 @@
             self.runs += 1;
         }
         self.is_sent = is_other_pending;
-        if let Some(current) = current {
+        let is_late = now >= self.deadline;
+        // A silence that lasts until the deadline has been blamed on the target when it was noticed.
+        if let Some(current) = current.filter(|current| !(is_late && current.is_silent)) {
             self.note_failure(current.key, error, now);
         }
-        let is_late = now >= self.deadline;
         let restriction = self.state.request_restriction(&self.traits, now);
         let has_reserved = mem::take(&mut self.has_reserved_retry);
         let route = &self.matched.route;
