Let requests wait until the break of a group is confirmed

Callers saw: requests refused with "group misses a rank" although all ranks of the group were there: it had had no requests for seconds, or its ranks were silent for 1.3 s, and a full rank rejected one request and named itself. Cause: half a second without an event and one rejection by a rank with a free slot make a group count as broken (group_watch.rs). An idle group sends no events either, and the outage was counted from the last event, so that it was as old as the idle time and requests were refused at once. Ruled out: not to suspect a group at the first rejection. Rejections by a group that is broken look the same when they name no other rank, and each request would use up its attempts there (request_waits_until_the_group_is_open_again). Change: the group still gets no requests from the first rejection on and its ranks are asked for their reports. Until a report shows the break or a rejection names another rank, the outage counts from the rejection, so that requests wait.

--- a/crates/core/src/dispatch/group_watch.rs
+++ b/crates/core/src/dispatch/group_watch.rs
@@ -11,6 +11,11 @@
 //! formation never opens again. Views of a group from lists, reports and peers may therefore be
 //! merged in any order. A break that is only inferred from rejections is a suspicion, which a later
 //! answer or report of a rank clears.
+//!
+//! A sound group looks the same for a moment: its ranks are silent for a second or have had no
+//! requests, and one of them is full and rejects a request. As long as neither a report nor a
+//! rejection that names another rank confirms the suspicion, the time before it does not count as
+//! an outage, so that requests wait for the reports instead of being refused.
 
 use {
     super::target_roster::GroupView,
@@ -80,6 +85,8 @@
 struct Suspicion {
     epoch: u64,
     since: Instant,
+    /// Whether a rejection has named another rank as its cause.
+    names_rank: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -116,7 +123,19 @@
             .suspicion
             .is_some_and(|suspicion| suspicion.epoch >= epoch);
         if !is_known {
-            known.suspicion = Some(Suspicion { epoch, since: now });
+            known.suspicion = Some(Suspicion {
+                epoch,
+                since: now,
+                names_rank: false,
+            });
+        }
+    }
+
+    /// Records that a rejection by a rank of a suspected group names another rank as its cause.
+    pub fn note_named_rank(&mut self, name: &GroupName) {
+        let known = self.formations.get_mut(name);
+        if let Some(suspicion) = known.and_then(|known| known.suspicion.as_mut()) {
+            suspicion.names_rank = true;
         }
     }
 
@@ -162,15 +181,22 @@
     /// Returns whether a group counts as broken only because of rejections, without a report that
     /// confirms it.
     pub fn is_suspected(&self, name: &GroupName) -> bool {
-        let known = self.formations.get(name);
-        known.is_some_and(|known| {
-            let latest = known.latest.map(|(latest, _)| latest.view);
-            let is_confirmed = |suspicion: Suspicion| {
-                latest.is_some_and(|latest| latest.epoch >= suspicion.epoch && !latest.is_open)
-            };
-            known
-                .suspicion
-                .is_some_and(|suspicion| !is_confirmed(suspicion))
+        self.unconfirmed(name).is_some()
+    }
+
+    /// Returns the time since which a group counts as broken only because a rank with a free slot
+    /// has rejected a request; `None` if a report or a rejection that names another rank shows
+    /// more.
+    pub fn doubtful_since(&self, name: &GroupName) -> Option<Instant> {
+        let suspicion = self.unconfirmed(name)?;
+        (!suspicion.names_rank).then_some(suspicion.since)
+    }
+
+    fn unconfirmed(&self, name: &GroupName) -> Option<Suspicion> {
+        let known = self.formations.get(name)?;
+        let latest = known.latest.map(|(latest, _)| latest.view);
+        known.suspicion.filter(|suspicion| {
+            latest.is_none_or(|latest| latest.epoch < suspicion.epoch || latest.is_open)
         })
     }
 
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -593,6 +593,9 @@
                 .get(&name)
                 .map_or(member.epoch, |view| view.epoch);
             self.watch.note_break(&name, epoch, now);
+            if names_another {
+                self.watch.note_named_rank(&name);
+            }
             self.update_groups(now, &mut changes);
         }
         changes
@@ -644,9 +647,11 @@
     }
 
     /// Returns the time since which a broken group has run no requests, or since which all of its
-    /// ranks answer again; `None` for a group that runs.
+    /// ranks answer again; `None` for a group that runs. For a group that counts as broken only
+    /// because a rank has rejected a request, it is the time of the rejection at the earliest.
     pub fn outage_since(&self, name: &GroupName) -> Option<Instant> {
-        self.outages.get(name).copied()
+        let since = self.outages.get(name).copied()?;
+        Some(since.max(self.watch.doubtful_since(name).unwrap_or(since)))
     }
 
     /// Returns the views of groups that have changed lately and are sent to peers.
