--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Fault soak of gateways: scripts/soak.sh [--seed N] [--seeds N] [--minutes N].
-# Without --seed the seeds are fresh. A seed takes about 18 s; --minutes sets their number by that.
+# Without --seed the seeds are fresh. A seed takes about 22 s; --minutes sets their number by that.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-seconds_per_seed=18
+seconds_per_seed=22
 seed=$(( $(date +%s) % 1000000 ))
 seeds=1
 while [ $# -gt 0 ]; do
