Keep a gateway that gets a SIGHUP at its start

Cause: the handler was installed by the task that reloads the settings, after the settings were read and the listeners bound. Class: a signal whose default action ends the process before its handler is there. Evidence: early_hangup_ends_the_process_or_is_forgotten puts a pipe in place of the settings, so that the signal arrives while the gateway reads them. Change: a gateway installs the handler before it reads its settings, and the task takes over the signals that have come until then. What remains is the time from the start of the program to its first instructions, which only the one who starts it can cover.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -29,7 +29,9 @@
 pub mod supervisor;
 
 use {
-    self::{metrics::GatewayMetrics, state::GatewayState, supervisor::supervise},
+    self::{
+        metrics::GatewayMetrics, reload::HangupSignals, state::GatewayState, supervisor::supervise,
+    },
     crate::{
         DaemonError, Result,
         arguments::GatewayArguments,
@@ -54,12 +56,20 @@
 ///
 /// Fails if the settings have no gateway section, if an address cannot be bound, or if the gateway
 /// task ends abnormally.
-pub async fn serve(options: DaemonOptions, arguments: GatewayArguments) -> Result<()> {
-    let serving = serve_local(options, arguments);
+pub async fn serve(
+    options: DaemonOptions,
+    arguments: GatewayArguments,
+    hangups: HangupSignals,
+) -> Result<()> {
+    let serving = serve_local(options, arguments, hangups);
     LocalSet::new().run_until(serving).await
 }
 
-async fn serve_local(options: DaemonOptions, arguments: GatewayArguments) -> Result<()> {
+async fn serve_local(
+    options: DaemonOptions,
+    arguments: GatewayArguments,
+    hangups: HangupSignals,
+) -> Result<()> {
     let gateway = options.gateway.clone();
     let gateway = gateway.ok_or_else(|| Report::new(DaemonError::ReadSettings))?;
     let health = HealthState::default();
@@ -103,7 +113,7 @@
     });
     supervise(&state, "peers", peers::poll_peers);
     supervise(&state, "settings", move |_| {
-        reload::reload_on_hangup(arguments.clone(), options.clone())
+        reload::reload_on_hangup(hangups.clone(), arguments.clone(), options.clone())
     });
     supervise(&state, "queues", admission::review_queues);
     supervise(&state, "readiness", move |state| {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,8 +16,10 @@
     arguments::{DaemonArguments, DaemonCommand},
     clap::Parser,
     error_stack::{Report, ResultExt},
+    gateway::reload::HangupSignals,
     options::DaemonOptions,
     std::{error::Error, fmt, process::ExitCode, result},
+    tokio::runtime::{Builder, Runtime},
 };
 
 /// Result of running the daemon.
@@ -72,29 +74,56 @@
 
 fn execute(arguments: &DaemonArguments) -> Result<()> {
     let command = &arguments.command;
-    let options = DaemonOptions::load(command).change_context(DaemonError::ReadSettings)?;
-    if let DaemonCommand::Check(check) = command {
-        println!("{}: settings are valid", check.file.display());
-        return Ok(());
+    match command {
+        DaemonCommand::Check(check) => {
+            read_settings(command)?;
+            println!("{}: settings are valid", check.file.display());
+            Ok(())
+        }
+        DaemonCommand::Gateway(arguments) => {
+            // A gateway has less than one core, so a second thread would only add wake-ups.
+            let runtime = build_runtime(Builder::new_current_thread())?;
+            // A SIGHUP ends a process without a handler, so that it is installed before the settings
+            // are read and the listeners are bound.
+            let context = runtime.enter();
+            let hangups = HangupSignals::install().change_context(DaemonError::Serve)?;
+            drop(context);
+            let options = start_logs(command)?;
+            let serving = gateway::serve(options, arguments.clone(), hangups);
+            finish(runtime.block_on(serving))
+        }
+        DaemonCommand::Agent(_) => {
+            let options = start_logs(command)?;
+            let runtime = build_runtime(Builder::new_multi_thread())?;
+            finish(runtime.block_on(agent::serve(options)))
+        }
+        DaemonCommand::Entry(_) => {
+            let options = start_logs(command)?;
+            let runtime = build_runtime(Builder::new_multi_thread())?;
+            finish(runtime.block_on(entry::serve(options)))
+        }
     }
+}
+
+fn read_settings(command: &DaemonCommand) -> Result<DaemonOptions> {
+    DaemonOptions::load(command).change_context(DaemonError::ReadSettings)
+}
+
+/// Reads the settings and starts the logs by them.
+fn start_logs(command: &DaemonCommand) -> Result<DaemonOptions> {
+    let options = read_settings(command)?;
     telemetry::logs::start(&options.log).change_context(DaemonError::StartTelemetry)?;
-    let runtime = match command {
-        // A gateway has less than one core, so a second thread would only add wake-ups.
-        DaemonCommand::Gateway(_) => tokio::runtime::Builder::new_current_thread(),
-        _ => tokio::runtime::Builder::new_multi_thread(),
-    }
-    .worker_threads(constants::RUNTIME_THREADS)
-    .enable_all()
-    .build()
-    .change_context(DaemonError::Serve)?;
-    let served = runtime.block_on(async {
-        match command {
-            DaemonCommand::Agent(_) => agent::serve(options).await,
-            DaemonCommand::Check(_) => Ok(()),
-            DaemonCommand::Entry(_) => entry::serve(options).await,
-            DaemonCommand::Gateway(arguments) => gateway::serve(options, arguments.clone()).await,
-        }
-    });
+    Ok(options)
+}
+
+fn build_runtime(mut builder: Builder) -> Result<Runtime> {
+    let builder = builder.worker_threads(constants::RUNTIME_THREADS);
+    let runtime = builder.enable_all().build();
+    runtime.change_context(DaemonError::Serve)
+}
+
+/// Writes the rest of the log, and returns how the process has served.
+fn finish(served: Result<()>) -> Result<()> {
     log::logger().flush();
     served
 }
