Let callers see the refusal of a body beyond the limit

Callers saw: a reset in place of a 413, and a 413 by an older configuration, when a change of max_body_bytes crossed their body. Cause: reading stopped at the first byte beyond the limit, and the connection was closed with unread bytes, which resets it. The limit was that of the head, although the request is routed by the configuration at the end of its body. Class: a refusal that the transport takes back. Change: request_body.rs reads bodies.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -24,6 +24,7 @@
 pub mod reload;
 pub mod reply;
 pub mod request;
+pub mod request_body;
 pub mod retries;
 pub mod state;
 pub mod supervisor;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -6,11 +6,12 @@
         exchange::{self, AttemptError, AttemptInput, OpenAnswer},
         relay::{self, StartedStream},
         reply::{LocalReply, ReplyBody},
+        request_body,
         state::GatewayState,
     },
     bytes::Bytes,
     http::{StatusCode, header::CONTENT_LENGTH, request},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::{Request, Response, body::Incoming},
     sassafrasslip_core::{
         dispatch::{
@@ -90,25 +91,17 @@
     parts: &request::Parts,
     incoming: Incoming,
 ) -> Result<RoutedRequest, LocalReply> {
-    let limit = state
-        .table()
-        .map_or(usize::MAX, |table| table.limits.body_bytes);
-    // The body is read even if the request is refused: closing a connection with unread bytes
-    // resets it, and the reset can reach the caller before the refusal does.
+    let limit = || {
+        let table = state.table();
+        table.map_or(usize::MAX, |table| table.limits.body_bytes)
+    };
     let body = tokio::select! {
         biased;
-        body = Limited::new(incoming, limit).collect() => body,
+        body = request_body::read(incoming, limit) => body?,
         () = state.ending.cancelled() => {
             return Err(LocalReply::not_run(STOP_REASON, STOP_RETRY_DELAY));
         }
     };
-    let body = body.map_err(|error| {
-        let status = match error.is::<http_body_util::LengthLimitError>() {
-            true => StatusCode::PAYLOAD_TOO_LARGE,
-            false => StatusCode::BAD_REQUEST,
-        };
-        LocalReply::rejected(status, "body cannot be read")
-    })?;
     let table = state.table();
     let table = table
         .ok_or_else(|| LocalReply::not_run("no configuration yet", UNCONFIGURED_RETRY_DELAY))?;
@@ -120,7 +113,7 @@
     let service = matched.route.pick_service(rand::random()).cloned();
     let service =
         service.ok_or_else(|| LocalReply::not_run("route has no service", RETRY_DELAY))?;
-    Ok((table, matched, service, body.to_bytes()))
+    Ok((table, matched, service, body))
 }
 
 /// Returns what identifies a request when its caller sends it again under another id.
