Keep connections of callers that do not know a lowered idle timeout

Callers saw: a connection that they may use by the limits that they know, closed 0.4 s after its answer, beside a change that lowers the idle timeout. Cause: a lowered value held for the next request at once, although callers know a change only 2 s after its confirmation. Class: a limit of the other side that is enforced before that side can know it. Change: a lowered value holds from `configuration_limit` after the change on, for connections that become idle then; a raised one at once, as before.

--- a/crates/daemon/src/gateway/head_timer.rs
+++ b/crates/daemon/src/gateway/head_timer.rs
@@ -2,13 +2,11 @@
 
 use {
     hyper::rt::{Sleep, Timer},
+    sassafrasslip_core::dispatch::CallerLimits,
     std::{
         future::Future,
         pin::Pin,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, ready},
         time,
     },
@@ -19,29 +17,57 @@
 /// request head. Clones share the value.
 #[derive(Clone, Debug)]
 pub struct HeadTimeout {
-    millis: Arc<AtomicU64>,
+    values: Arc<Mutex<TimeoutValues>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TimeoutValues {
+    configured: Duration,
+    /// Longer value that was lowered, and until when it stays in force.
+    earlier: Option<(Duration, Instant)>,
+}
+
+impl TimeoutValues {
+    fn in_force(&self, now: Instant) -> Duration {
+        let earlier = self.earlier.filter(|(_, until)| now < *until);
+        earlier.map_or(self.configured, |(longer, _)| longer.max(self.configured))
+    }
 }
 
 impl HeadTimeout {
     /// Creates the timeout with its first value.
     pub fn new(timeout: Duration) -> Self {
-        let created = Self {
-            millis: Arc::default(),
+        let values = TimeoutValues {
+            configured: timeout,
+            earlier: None,
         };
-        created.set(timeout);
-        created
+        Self {
+            values: Arc::new(Mutex::new(values)),
+        }
     }
 
     /// Returns the value in force.
     pub fn get(&self) -> Duration {
-        Duration::from_millis(self.millis.load(Ordering::Relaxed))
+        self.lock().in_force(Instant::now())
+    }
+
+    /// Changes the value to that of `limits`. A longer one holds at once, for connections that are
+    /// already idle too. A shorter one holds after `delay`, for connections that become idle then:
+    /// callers that do not know the change yet use their connections as before.
+    pub fn apply(&self, limits: &CallerLimits, delay: Duration) {
+        // A connection may be idle for the idle timeout before its next request head, which may then
+        // take the header timeout.
+        let timeout = limits.header_timeout + limits.idle_timeout;
+        let now = Instant::now();
+        let mut values = self.lock();
+        if timeout < values.configured {
+            values.earlier = Some((values.in_force(now), now + delay));
+        }
+        values.configured = timeout;
     }
 
-    /// Changes the value. A longer one holds for connections that are already idle too, a shorter
-    /// one from their next request on.
-    pub fn set(&self, timeout: Duration) {
-        let millis = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
-        self.millis.store(millis, Ordering::Relaxed);
+    fn lock(&self) -> MutexGuard<'_, TimeoutValues> {
+        self.values.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -360,11 +360,8 @@
             .roster
             .borrow_mut()
             .set_services(services, Instant::now());
-        // A connection may be idle for the idle timeout before its next request head, which may then
-        // take the header timeout.
-        let limits = &table.limits;
         self.head_timeout
-            .set(limits.header_timeout + limits.idle_timeout);
+            .apply(&table.limits, self.options.configuration_limit);
         *self.table.borrow_mut() = Some(Rc::new(table));
         *self.document.borrow_mut() = document;
         self.document_era.set(era);
