Start a second attempt only with a retry, and name the attempt that answered

Review of by reading: without a retry left, each silent request took a slot and gave it back every 250 ms; a retry was spent although a stop or a quarantine then kept the request from being sent; a second stream without an event won over the target that still worked; line 2022 did not tell which attempt answered. Change: the budget, the stop and the quarantine are asked first; a stream without events does not win while another attempt is pending; 2022 has the attempt.

--- a/crates/core/src/dispatch/retry_allowance.rs
+++ b/crates/core/src/dispatch/retry_allowance.rs
@@ -23,6 +23,13 @@
     pub allowed: f64,
 }
 
+impl RetryStatus {
+    /// Returns whether the budget grants another retry.
+    pub fn has_left(&self) -> bool {
+        self.used as f64 + 1.0 <= self.allowed
+    }
+}
+
 /// What a gateway has counted for the retry budget of a service within a window, in
 /// [`USAGE_INTERVALS`] intervals, the latest first.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -161,8 +168,7 @@
     /// Takes one retry from the budget if there is one left, and returns whether there was.
     /// `gateways` is as for [`Self::status`].
     pub fn try_spend(&mut self, gateways: Option<u32>, now: Instant) -> bool {
-        let status = self.status(gateways, now);
-        let is_allowed = status.used as f64 + 1.0 <= status.allowed;
+        let is_allowed = self.status(gateways, now).has_left();
         if is_allowed {
             self.retries.own.push_back(now);
         }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -704,6 +704,7 @@
             route = self.matched.route.name,
             service = self.service,
             attempts = self.attempts,
+            attempt = self.current.map_or(0, |current| current.number),
             parts = list_parts(&self.traits.shared_parts),
             own_part = list_parts(self.caller.own_part.as_slice()),
             request = self.traits.whole,
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -113,7 +113,9 @@
             };
             let is_other_pending = first.record.number != ended.number;
             self.current = Some(ended);
-            let error = match result.and_then(|answer| self.accept(answer, failure)) {
+            let accepted =
+                result.and_then(|answer| self.accept(answer, is_other_pending, failure));
+            let error = match accepted {
                 Ok(outcome) => {
                     if is_other_pending {
                         self.record_abandoned_attempt();
@@ -171,8 +173,8 @@
         may_run_beside(route.repeat, self.runs, self.attempts, route.attempts).then_some(at)
     }
 
-    /// Returns whether the target of `first` is silent, so that the request waits for a slot at another
-    /// one as well.
+    /// Returns whether the target of `first` is silent and a retry is left, so that the request waits
+    /// for a slot at another target as well.
     fn review_silence(&mut self, first: &mut PendingAttempt<'_>) -> bool {
         let now = Instant::now();
         first.check_at = Some(now + SILENCE_CHECK_INTERVAL);
@@ -194,7 +196,8 @@
             self.note_silence(first.record.sent_at);
             first.record.is_silent = true;
         }
-        true
+        // Without a retry, a slot in the queue would only be taken and given back.
+        self.state.retry_status(&self.service, now).has_left()
     }
 
     /// Starts an attempt at the target of a lease beside the silent one of `first` if a retry is left.
@@ -208,14 +211,12 @@
         let now = Instant::now();
         first.check_at = Some(now + SILENCE_CHECK_INTERVAL);
         let lease = lease.ok()?;
-        if !self.state.try_spend_retry(&self.service, now) {
+        let is_refused = self.stop_refusal(now).is_some()
+            || self.state.request_restriction(&self.traits, now).is_some();
+        if is_refused || !self.state.try_spend_retry(&self.service, now) {
             return None;
         }
-        let second = self.start_attempt(state, request, lease).ok();
-        if second.is_none() {
-            first.check_at = None;
-        }
-        second
+        self.start_attempt(state, request, lease).ok()
     }
 
     /// Returns whether another target of the service has sent an event just now. The ranks of a group
@@ -250,10 +251,12 @@
     }
 
     /// Takes the answer of the current attempt. A server error is no answer if the request may be
-    /// repeated: another target may succeed, and `failure` is forwarded if none does.
+    /// repeated: another target may succeed, and `failure` is forwarded if none does. Neither is a
+    /// stream without events while another attempt is pending.
     fn accept(
         &mut self,
         answer: TargetAnswer,
+        is_other_pending: bool,
         failure: &mut Option<Response<ReplyBody>>,
     ) -> exchange::Result<RequestOutcome> {
         let now = Instant::now();
@@ -262,6 +265,9 @@
             TargetAnswer::Whole(key, parts, body) => (key, parts, body),
             TargetAnswer::Stream(started) => {
                 let key = started.target();
+                if is_other_pending && !started.has_event() {
+                    return Err(AttemptError::broken("stream ends before its first event"));
+                }
                 if started.has_event() {
                     self.record_progress(key, now);
                 }
