--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod part_news;
 pub mod part_watch;
+pub mod peer_frames;
 pub mod peers;
 pub mod placer;
 pub mod readiness;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -8,7 +8,9 @@
 
 use {
     super::{
-        part_news, retries,
+        part_news,
+        peer_frames::{request_frames, snapshot_frames},
+        retries,
         state::{GatewayState, NewerPeer, ipv4},
     },
     crate::listen,
@@ -44,7 +46,6 @@
         net::{TcpListener, TcpStream, UdpSocket},
         time::{Instant, MissedTickBehavior, interval, sleep, sleep_until, timeout},
     },
-    tokio_util::codec::{Framed, LengthDelimitedCodec},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -65,10 +66,6 @@
 /// Largest datagram that is received whole, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// Largest snapshot, in bytes. It holds a configuration of thousands of routes and the instance
-/// list.
-const MAX_SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
-
 /// Timeout of fetching or sending a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -414,20 +411,14 @@
     }
 }
 
-fn frame_stream(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_SNAPSHOT_BYTES)
-        .new_codec();
-    Framed::new(stream, codec)
-}
-
 async fn send_snapshot(state: Rc<GatewayState>, stream: TcpStream) -> io::Result<()> {
-    let mut frames = frame_stream(stream);
+    let mut frames = request_frames(stream);
     let Some(request) = frames.next().await.transpose()? else {
         return Ok(());
     };
     let request = SnapshotRequest::decode(request.freeze()).map_err(io::Error::other)?;
     let answer = own_snapshot(&state, &request);
+    let mut frames = snapshot_frames(frames.into_inner());
     frames.send(Bytes::from(answer.encode_to_vec())).await
 }
 
@@ -656,7 +647,7 @@
     let exchange = async {
         let failed = |step| PeerError { step, peer };
         let stream = TcpStream::connect(peer).await;
-        let mut frames = frame_stream(stream.change_context(failed(PeerStep::Connect))?);
+        let mut frames = snapshot_frames(stream.change_context(failed(PeerStep::Connect))?);
         let request = SnapshotRequest {
             revision,
             list_digest,
