--- a/crates/daemon/src/gateway/readiness.rs
+++ b/crates/daemon/src/gateway/readiness.rs
@@ -31,6 +31,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(READ_TIMEOUT)
+            .max_buf_size(listen::MAX_PROBE_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         tokio::task::spawn_local(connection);
     }
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -13,6 +13,10 @@
 /// Pause after a failed `accept`, which usually means that file descriptors have run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Largest head of a probe or a scrape, in bytes. Any number of connections may send one at the same
+/// time.
+pub const MAX_PROBE_BYTES: usize = 16 * 1024;
+
 /// Result of binding an address.
 pub type Result<T> = result::Result<T, Report<ListenError>>;
 
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     super::HealthState,
-    crate::listen::{Result, bind},
+    crate::listen::{MAX_PROBE_BYTES, Result, bind},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
@@ -73,6 +73,7 @@
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(SCRAPE_READ_TIMEOUT)
+            .max_buf_size(MAX_PROBE_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(connection);
     }
