--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -4,6 +4,7 @@
 //! the state of the other gateways up to date, so that a request is routed from memory.
 
 pub mod admission;
+pub mod answer_budget;
 pub mod caller_slots;
 pub mod callers;
 pub mod channels;
--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -4,10 +4,13 @@
 //! carry requests of callers.
 
 use {
-    super::channels::TargetChannel,
+    super::{
+        answer_budget::{AnswerBudget, SMALL_ANSWER_BYTES},
+        channels::TargetChannel,
+    },
     bytes::Bytes,
     http::{Method, header::CONTENT_TYPE, header::HOST},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::{Request, StatusCode},
     sassafrasslip_core::{
         dispatch::{
@@ -48,9 +51,9 @@
 /// Assumed rate at which one engine receives a map, in bytes per second.
 const ENGINE_RATE: f64 = 700e3;
 
-/// Largest response of an engine, in bytes. The longest ones are the counts of some thousand
-/// experts.
-const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Largest list of experts or of their counts that an engine sends, in bytes. The longest ones are
+/// the counts of some thousand experts. Other answers are small.
+const MAX_LIST_BYTES: usize = 1024 * 1024;
 
 /// Engine of one rank, with the connection that is kept to it.
 #[derive(Debug)]
@@ -91,6 +94,7 @@
     pub epoch: u64,
     endpoints: Vec<EngineEndpoint>,
     stats: Cell<OrderStats>,
+    budget: AnswerBudget,
 }
 
 impl GroupEngines {
@@ -110,6 +114,7 @@
             epoch,
             endpoints: endpoints.collect(),
             stats: Cell::default(),
+            budget: AnswerBudget::default(),
         }
     }
 
@@ -236,8 +241,8 @@
             let request = build_request(endpoint, method, path, body)?;
             let response = channel.exchange(request).await.ok()?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-            let body = body.collect().await.ok()?.to_bytes();
+            let body = response.into_body();
+            let body = self.budget.collect(body, answer_limit(path)).await?;
             let since = Instant::now();
             *endpoint.channel.borrow_mut() = Some(IdleChannel { channel, since });
             Some((status, body))
@@ -263,6 +268,14 @@
     ANSWER_TIMEOUT + Duration::from_secs_f64(sending)
 }
 
+/// Returns the largest body of an answer to a call, in bytes.
+fn answer_limit(path: &str) -> usize {
+    match path {
+        ACTIVATIONS_PATH | LOADED_EXPERTS_PATH => MAX_LIST_BYTES,
+        _ => SMALL_ANSWER_BYTES,
+    }
+}
+
 fn build_request(
     endpoint: &EngineEndpoint,
     method: Method,
--- a/crates/daemon/src/gateway/head_guard.rs
+++ b/crates/daemon/src/gateway/head_guard.rs
@@ -19,6 +19,10 @@
 /// bytes, and the beginning of the body may arrive with it.
 const MAX_HEAD_BYTES: u64 = 256 * 1024;
 
+/// Bytes of an awaited head after which a connection lets other tasks run. A large group has hundreds
+/// of ranks that are asked at the same time, and a complete head has a few hundred bytes.
+const BYTES_PER_TURN: usize = 16 * 1024;
+
 /// Number of bytes that may still arrive before the awaited head is complete; no limit applies
 /// while no head is awaited. Clones share the state.
 #[derive(Clone, Debug, Default)]
@@ -37,6 +41,10 @@
         self.left.set(None);
     }
 
+    fn is_limited(&self) -> bool {
+        self.left.get().is_some()
+    }
+
     fn spend(&self, bytes: usize) -> io::Result<()> {
         let Some(left) = self.left.get() else {
             return Ok(());
@@ -53,12 +61,18 @@
 pub struct HeadGuard<T> {
     inner: T,
     allowance: HeadAllowance,
+    /// Bytes of an awaited head that have arrived since other tasks could run.
+    turn: usize,
 }
 
 impl<T> HeadGuard<T> {
     /// Wraps a connection so that its reads count against `allowance`.
     pub fn new(inner: T, allowance: HeadAllowance) -> Self {
-        Self { inner, allowance }
+        Self {
+            inner,
+            allowance,
+            turn: 0,
+        }
     }
 }
 
@@ -69,9 +83,18 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let guard = self.get_mut();
+        if guard.turn >= BYTES_PER_TURN {
+            guard.turn = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut guard.inner).poll_read(context, buffer))?;
-        Poll::Ready(guard.allowance.spend(buffer.filled().len() - before))
+        let arrived = buffer.filled().len() - before;
+        if guard.allowance.is_limited() {
+            guard.turn += arrived;
+        }
+        Poll::Ready(guard.allowance.spend(arrived))
     }
 }
 
