--- a/crates/daemon/src/agent/orders/engine.rs
+++ b/crates/daemon/src/agent/orders/engine.rs
@@ -10,6 +10,7 @@
         rt::{TokioExecutor, TokioTimer},
     },
     sassafrasslip_core::map_change::{EngineView, MapOrder, OrderStep, ParticipantState},
+    sassafrasslip_platform::answer_guard::{GuardedConnector, MAX_BUFFERED_BYTES},
     sassafrasslip_proto::link,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{collections::BTreeMap, error::Error, fmt, net::SocketAddr, result, time::Duration},
@@ -27,6 +28,10 @@
 /// after a timeout could contradict what the agent has reported meanwhile.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Bytes that may arrive in answer to one call. The longest answers are the token counts of some
+/// thousand experts in each layer.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
 /// Failed call to the engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineError {
@@ -139,7 +144,7 @@
 #[derive(Clone, Debug)]
 pub struct EngineClient {
     address: SocketAddr,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<GuardedConnector, Full<Bytes>>,
 }
 
 impl EngineClient {
@@ -152,7 +157,8 @@
             .pool_timer(TokioTimer::new())
             // No automatic retry, because an order that was sent may have taken effect.
             .retry_canceled_requests(false)
-            .build(connector);
+            .http1_max_buf_size(MAX_BUFFERED_BYTES)
+            .build(GuardedConnector::new(connector, MAX_ANSWER_BYTES));
         Self { address, client }
     }
 
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -14,16 +14,21 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
+    sassafrasslip_platform::answer_guard::{GuardedConnector, MAX_BUFFERED_BYTES},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::net::SocketAddr,
     tokio::time::timeout,
 };
 
+/// Bytes that may arrive in answer to one call. The longest answers are an instance list of 1,050
+/// instances, a page of a table, and a configuration of 66 KB.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
 /// Client of the platform's services over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
     options: PlatformOptions,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<GuardedConnector, Full<Bytes>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -63,7 +68,8 @@
             // A write that was sent may have taken effect, so only the caller can decide on a
             // retry.
             .retry_canceled_requests(false)
-            .build(connector);
+            .http1_max_buf_size(MAX_BUFFERED_BYTES)
+            .build(GuardedConnector::new(connector, MAX_ANSWER_BYTES));
         Self { options, client }
     }
 
