--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -4,6 +4,7 @@
 //! the state of the other gateways up to date, so that a request is routed from memory.
 
 pub mod admission;
+pub mod answer_budget;
 pub mod caller_slots;
 pub mod callers;
 pub mod channels;
@@ -16,6 +17,7 @@
 pub mod metrics;
 pub mod part_news;
 pub mod part_watch;
+pub mod peer_frames;
 pub mod peers;
 pub mod placer;
 pub mod readiness;
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -113,8 +113,7 @@
             };
             let is_other_pending = first.record.number != ended.number;
             self.current = Some(ended);
-            let accepted =
-                result.and_then(|answer| self.accept(answer, is_other_pending, failure));
+            let accepted = result.and_then(|answer| self.accept(answer, is_other_pending, failure));
             let error = match accepted {
                 Ok(outcome) => {
                     if is_other_pending {
