Limit the buffer for heads of callers to 64 KiB

Cause: the buffer of a connection was the server's default of some 400 KB, for 2,048 connections more than the memory of a gateway, and each read parses it again. Change: the buffer is as large as the configured request head, at least 64 KiB.

--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -39,6 +39,10 @@
 /// connections. The first request of a newly opened connection may still be in transit.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
 
+/// Smallest buffer for the request head of a connection, in bytes. All connections together then take
+/// half of the 256 MB of a gateway; the server's default of some 400 KB would exceed them.
+const MIN_HEAD_BUFFER: usize = 64 * 1024;
+
 /// Accepts connections until the deregistration delay after the stop signal has passed, then waits
 /// for the requests in flight, at most until shortly before the supervisor kills the process.
 pub async fn serve(state: Rc<GatewayState>, listener: TcpListener, draining: CancellationToken) {
@@ -100,6 +104,8 @@
 async fn serve_connection(state: Rc<GatewayState>, stream: TcpStream, slot: CallerSlot) {
     let _ = stream.set_nodelay(true);
     let head_timeout = state.head_timeout.clone();
+    let head_limit = state.table().map(|table| table.limits.header_bytes);
+    let head_buffer = head_limit.unwrap_or_default().max(MIN_HEAD_BUFFER);
     let stream = StallGuard::new(stream, CALLER_WRITE_TIMEOUT);
     let has_request = Rc::new(Cell::new(false));
     let seen = Rc::clone(&has_request);
@@ -129,6 +135,7 @@
     let connection = http1::Builder::new()
         .header_read_timeout(head_timeout.get())
         .timer(HeadTimer::new(head_timeout))
+        .max_buf_size(head_buffer)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     tokio::select! {
