Answer 502 for a target that switches protocols, and share the budget of answers

Callers saw: status 101 with an empty body, because a target sent it. Cause: only successes without a signature and answers of other requests were taken for faults. Class: an answer of a kind that nothing asked for. Change: an informational status ends the attempt. The budget of buffered bodies stood in exchange.rs and answer_budget.rs; both use AnswerBudget now, with their limits as they were.

--- a/crates/daemon/src/gateway/engines.rs
+++ b/crates/daemon/src/gateway/engines.rs
@@ -55,6 +55,9 @@
 /// the counts of some thousand experts. Other answers are small.
 const MAX_LIST_BYTES: usize = 1024 * 1024;
 
+/// Bytes that the answers of all ranks of a group may take together while they are read.
+const MAX_COLLECTED_BYTES: usize = 8 * 1024 * 1024;
+
 /// Engine of one rank, with the connection that is kept to it.
 #[derive(Debug)]
 pub struct EngineEndpoint {
@@ -114,7 +117,7 @@
             epoch,
             endpoints: endpoints.collect(),
             stats: Cell::default(),
-            budget: AnswerBudget::default(),
+            budget: AnswerBudget::new(MAX_COLLECTED_BYTES),
         }
     }
 
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         admission::TargetLease,
+        answer_budget::{AnswerBudget, LimitExceeded},
         channels::{ChannelError, TargetChannel, describe_exchange},
         state::GatewayState,
     },
@@ -28,7 +29,7 @@
         log_event,
     },
     sassafrasslip_platform::{AnswerHead, AttemptHead, decode_answer, encode_attempt},
-    std::{cell::Cell, future, result, sync::Arc, time::Duration},
+    std::{future, result, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -38,13 +39,8 @@
 /// Largest response body that is buffered as a whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Bytes that all response bodies together may take while they are buffered. Above this limit only
-/// small responses continue, so that targets that send bodies without end cannot exhaust the memory
-/// of the process.
-const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
-
-/// Size up to which a response is buffered even above [`MAX_COLLECTED_BYTES`], in bytes.
-const SMALL_ANSWER_BYTES: usize = 64 * 1024;
+/// Bytes that all response bodies together may take while they are buffered.
+pub const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
 
 /// Largest body of a rejection that is read so that the connection can be reused, in bytes.
 const MAX_REJECTION_BYTES: usize = 64 * 1024;
@@ -199,7 +195,7 @@
         state: &GatewayState,
         until: Instant,
     ) -> Result<(response::Parts, Bytes)> {
-        let body = self.read_body(&state.collected_bytes, MAX_ANSWER_BYTES);
+        let body = self.read_body(&state.answer_budget, MAX_ANSWER_BYTES);
         let body = timeout_at(until, body).await;
         let body =
             body.map_err(|_| AttemptError::broken("response body is incomplete at the timeout"))??;
@@ -208,27 +204,20 @@
         Ok((parts, body))
     }
 
-    /// Reads a body of at most `max_bytes` bytes. While it is read, its bytes count as `collected`.
-    async fn read_body(&mut self, collected: &Cell<usize>, max_bytes: usize) -> Result<Bytes> {
+    /// Reads a body of at most `max_bytes` bytes within the budget.
+    async fn read_body(&mut self, budget: &AnswerBudget, max_bytes: usize) -> Result<Bytes> {
         if self.body.size_hint().lower() > max_bytes as u64 {
-            return Err(AttemptError::broken("response body is too large"));
+            return Err(AttemptError::broken(LimitExceeded::Answer.to_string()));
         }
-        let mut buffered = CollectedBytes::new(collected);
+        let mut share = budget.share();
         let mut whole = BytesMut::new();
         while let Some(bytes) = self
             .next()
             .await
             .map_err(|error| AttemptError::closed(describe_exchange(&error)))?
         {
-            buffered.add(bytes.len());
-            if buffered.bytes > max_bytes {
-                return Err(AttemptError::broken("response body is too large"));
-            }
-            if buffered.bytes > SMALL_ANSWER_BYTES && collected.get() > MAX_COLLECTED_BYTES {
-                return Err(AttemptError::broken(
-                    "buffered responses exceed the memory limit",
-                ));
-            }
+            let added = share.add(bytes.len(), max_bytes);
+            added.map_err(|error| AttemptError::broken(error.to_string()))?;
             whole.extend_from_slice(&bytes);
         }
         Ok(whole.freeze())
@@ -249,30 +238,6 @@
     }
 }
 
-/// Share of one response in the bytes that are being buffered; gives it back when dropped.
-#[derive(Debug)]
-struct CollectedBytes<'a> {
-    all: &'a Cell<usize>,
-    bytes: usize,
-}
-
-impl<'a> CollectedBytes<'a> {
-    fn new(all: &'a Cell<usize>) -> Self {
-        Self { all, bytes: 0 }
-    }
-
-    fn add(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.all.set(self.all.get() + bytes);
-    }
-}
-
-impl Drop for CollectedBytes<'_> {
-    fn drop(&mut self) {
-        self.all.set(self.all.get() - self.bytes);
-    }
-}
-
 /// Sends a request to the leased target and waits for the head of a valid response.
 ///
 /// # Errors
@@ -344,6 +309,10 @@
     if !belongs {
         return Err(AttemptError::broken("answer belongs to another request"));
     }
+    // Nothing asks a target to switch to another protocol, so that this is no answer to a request.
+    if answer.parts.status.is_informational() {
+        return Err(AttemptError::broken("target switched to another protocol"));
+    }
     if head.was_not_run {
         let status = answer.parts.status;
         let error = AttemptError {
@@ -353,7 +322,7 @@
             faulty_target: head.faulty_target.clone(),
             fault: format!("target rejected the request with {status}"),
         };
-        let rest = answer.read_body(&state.collected_bytes, MAX_REJECTION_BYTES);
+        let rest = answer.read_body(&state.answer_budget, MAX_REJECTION_BYTES);
         if let Ok(Ok(_)) = timeout(REJECTION_TIMEOUT, rest).await {
             answer.finish(state);
         }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -5,7 +5,9 @@
 use {
     super::{
         admission::ServiceQueue,
+        answer_budget::AnswerBudget,
         channels::{ChannelPool, TargetChannel},
+        exchange::MAX_COLLECTED_BYTES,
         group_bounds::GroupBounds,
         head_timer::HeadTimeout,
         metrics::GatewayMetrics,
@@ -84,8 +86,8 @@
     pub roster: RefCell<TargetRoster>,
     /// Pool of idle connections to targets.
     pub channels: ChannelPool,
-    /// Bytes of all response bodies that are being buffered.
-    pub collected_bytes: Cell<usize>,
+    /// Limit on the response bodies that are being buffered.
+    pub answer_budget: AnswerBudget,
     /// Queues of waiting requests by service.
     pub queues: RefCell<HashMap<ServiceName, ServiceQueue>>,
     /// Notified when a request joins a queue.
@@ -200,7 +202,7 @@
             metrics,
             roster: RefCell::default(),
             channels: ChannelPool::default(),
-            collected_bytes: Cell::new(0),
+            answer_budget: AnswerBudget::new(MAX_COLLECTED_BYTES),
             queues: RefCell::default(),
             waiting: Notify::new(),
             known_era: Cell::default(),
