Limit bodies of callers before a configuration is known

Cause, by reading: without a configuration a body had no limit, although its request is only refused; a caller's body without end would have been kept whole. Change: 4 MiB, as the documents of the deployments have it.

--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -90,7 +90,9 @@
 ) -> Result<RoutedRequest, LocalReply> {
     let limit = || {
         let table = state.table();
-        table.map_or(usize::MAX, |table| table.limits.body_bytes)
+        table.map_or(request_body::UNCONFIGURED_LIMIT, |table| {
+            table.limits.body_bytes
+        })
     };
     let body = tokio::select! {
         biased;
--- a/crates/daemon/src/gateway/request_body.rs
+++ b/crates/daemon/src/gateway/request_body.rs
@@ -21,6 +21,10 @@
 /// that a refused caller does not keep the gateway busy.
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
 
+/// Size limit of a gateway that has no configuration yet, in bytes. It refuses all requests, but only
+/// after it has read them.
+pub const UNCONFIGURED_LIMIT: usize = 4 << 20;
+
 /// Longest time for the rest of a body that is discarded. Callers know a new limit two seconds after
 /// its confirmation and send no longer bodies then.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
