Check a configuration document before it is sent

Change: sassafrasslip check FILE decodes the document as gateways do and prints findings (errors, warnings) and the differences from the one in force, from a file or from the store; text or JSON, exit code 1 with an error, 4 without an answer of the store. The decision is core/dispatch/table_review.rs, without input and output. The decoder keeps entries that a later one replaces (TableRules), from which the route table is built as before.

--- a/crates/client/src/arguments.rs
+++ b/crates/client/src/arguments.rs
@@ -10,7 +10,7 @@
         configuration::{ExceptionScope, SettingKey},
         ids::{ChangeName, ExceptionName, InstanceName, OperatorName, RequestId},
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, path::PathBuf},
 };
 
 const EXIT_CODES: &str = "\
@@ -19,7 +19,7 @@
   1  refused or invalid
   2  usage
   3  conflict with another operator's change
-  4  entry or table unreachable
+  4  entry, table or store unreachable
   5  committed but not yet confirmed everywhere";
 
 /// Operator client of sassafrasslip.
@@ -69,6 +69,8 @@
 /// Subcommands of the client.
 #[derive(Debug, Subcommand)]
 pub enum ClientVerb {
+    /// Review a configuration document of the platform before it is sent.
+    Check(CheckArguments),
     /// Fleet-wide defaults.
     #[command(subcommand)]
     Defaults(DefaultsVerb),
@@ -233,6 +235,19 @@
     pub operator: OperatorName,
 }
 
+/// Arguments of `check`.
+#[derive(Args, Debug)]
+pub struct CheckArguments {
+    /// Document that is reviewed, as JSON.
+    pub file: PathBuf,
+    /// Document in force, with which it is compared.
+    #[arg(long, value_name = "FILE", conflicts_with = "store")]
+    pub in_force: Option<PathBuf>,
+    /// Address of the platform's store, which holds the document in force.
+    #[arg(long, value_name = "IP:PORT")]
+    pub store: Option<SocketAddr>,
+}
+
 /// Arguments of `completions`.
 #[derive(Args, Debug)]
 pub struct CompletionsArguments {
--- a/crates/client/src/errors.rs
+++ b/crates/client/src/errors.rs
@@ -34,6 +34,15 @@
     },
     /// Writing the output or starting the runtime failed in this process.
     Local(io::Error),
+    /// A document is invalid; the text says why.
+    Rejected(String),
+    /// The platform's store could not be reached, or holds no configuration.
+    StoreUnreachable {
+        /// Address of the store.
+        store: SocketAddr,
+        /// What failed and why.
+        fault: String,
+    },
     /// A required argument is missing; the text says which.
     Usage(&'static str),
     /// The entry could not be reached, or its answer was lost or malformed.
@@ -55,6 +64,8 @@
             Self::Answered { body, .. } => write!(formatter, "{}: {}", body.code, body.message),
             Self::Local(error) => write!(formatter, "{error}"),
             Self::Unreachable { entry, fault, .. } => write!(formatter, "entry {entry}: {fault}"),
+            Self::Rejected(fault) => formatter.write_str(fault),
+            Self::StoreUnreachable { fault, .. } => formatter.write_str(fault),
             Self::Usage(fault) => formatter.write_str(fault),
         }
     }
@@ -74,9 +85,9 @@
                 StatusCode::GATEWAY_TIMEOUT => 5,
                 _ => 1,
             },
-            Self::Local(_) => 1,
+            Self::Local(_) | Self::Rejected(_) => 1,
             Self::Usage(_) => crate::USAGE_EXIT_CODE,
-            Self::Unreachable { .. } => 4,
+            Self::StoreUnreachable { .. } | Self::Unreachable { .. } => 4,
         }
     }
 
@@ -111,7 +122,9 @@
             Self::Answered { change_id, .. } | Self::Unreachable { change_id, .. } => {
                 change_id.as_ref()
             }
-            Self::Local(_) | Self::Usage(_) => None,
+            Self::Local(_) | Self::Rejected(_) | Self::StoreUnreachable { .. } | Self::Usage(_) => {
+                None
+            }
         }
     }
 
@@ -137,14 +150,22 @@
         }
     }
 
+    fn local_body(&self, code: &str) -> ErrorBody {
+        ErrorBody {
+            code: code.to_owned(),
+            message: self.to_string(),
+            current: Value::Null,
+        }
+    }
+
     fn write_json(&self, writer: &mut dyn Write) -> io::Result<()> {
         let error = match self {
             Self::Answered { body, .. } => body.clone(),
-            Self::Local(_) | Self::Unreachable { .. } | Self::Usage(_) => ErrorBody {
-                code: "unreachable".to_owned(),
-                message: self.to_string(),
-                current: Value::Null,
-            },
+            Self::Rejected(_) => self.local_body("invalid"),
+            Self::Local(_)
+            | Self::StoreUnreachable { .. }
+            | Self::Unreachable { .. }
+            | Self::Usage(_) => self.local_body("unreachable"),
         };
         let mut report = serde_json::to_value(ErrorReport { error })?;
         if let Some(id) = self.change_id() {
--- a/crates/client/src/verbs.rs
+++ b/crates/client/src/verbs.rs
@@ -1,6 +1,7 @@
 //! Subcommands of the client, which the code calls verbs, with one module per subcommand.
 
 mod change;
+mod check;
 mod completions;
 mod defaults;
 mod drain;
@@ -26,13 +27,16 @@
     if let ClientVerb::Completions(arguments) = &arguments.verb {
         return completions::execute(arguments, output);
     }
+    if let ClientVerb::Check(arguments) = &arguments.verb {
+        return check::execute(arguments, output).await;
+    }
     let entry = arguments.connection.entry;
     let entry = entry.ok_or(ClientError::Usage(
         "no entry is named: give --entry IP:PORT or set SASSAFRASSLIP_ENTRY",
     ))?;
     let api = OperatorApi::new(entry);
     match arguments.verb {
-        ClientVerb::Completions(_) => Ok(()),
+        ClientVerb::Check(_) | ClientVerb::Completions(_) => Ok(()),
         ClientVerb::Defaults(verb) => defaults::execute(&api, verb, output).await,
         ClientVerb::Drain(arguments) => drain::execute(&api, &arguments, output).await,
         ClientVerb::Exceptions(verb) => exceptions::execute(&api, verb, output).await,
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -28,6 +28,8 @@
 pub mod slow_ranks;
 pub mod stop_plan;
 pub mod store_history;
+pub mod table_review;
+pub mod table_rules;
 pub mod target_choice;
 pub mod target_entry;
 pub mod target_health;
@@ -65,6 +67,7 @@
     slow_ranks::{DatedSlowdown, SlowRanks, Slowdown},
     stop_plan::{DurationEstimate, StopPlan, StoppingRequest},
     store_history::{EraChange, KnownEra, ListHistory, StoreEra, StoreStamp, StoreVersion},
+    table_rules::TableRules,
     target_choice::{ChoiceInput, TargetChoice, choose_target, start_pace},
     target_entry::{
         DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
