Send nothing to emptied zones, and keep requests in their home regions

Cause: nothing reads the rows by which the operator empties a zone, nor the home regions of routes and teams, so that targets there go on getting requests. Change: the rows come with the configuration and its feed. Each gateway keeps the whole set with the era and version of the store at which it was true; the newest one counts.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -9,6 +9,7 @@
 pub mod event_stream;
 pub mod failure;
 pub mod group_watch;
+pub mod home_regions;
 pub mod map_plan;
 pub mod map_switch;
 pub mod outage_plan;
@@ -32,6 +33,7 @@
 pub mod target_entry;
 pub mod target_health;
 pub mod target_roster;
+pub mod zone_evacuation;
 
 pub use {
     channel_plan::{ChannelPlan, plan_channel},
@@ -39,6 +41,7 @@
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step, may_run_beside},
     group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
+    home_regions::{HomeZones, ZoneRegions},
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     outage_plan::{OutageStep, decide_during_outage},
     part_quarantine::{
@@ -65,7 +68,7 @@
     slow_ranks::{DatedSlowdown, SlowRanks, Slowdown},
     stop_plan::{DurationEstimate, StopPlan, StoppingRequest},
     store_history::{EraChange, KnownEra, ListHistory, StoreEra, StoreStamp, StoreVersion},
-    target_choice::{ChoiceInput, TargetChoice, choose_target, start_pace},
+    target_choice::{ChoiceInput, TargetChoice, choose_home_target, choose_target, start_pace},
     target_entry::{
         DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
     },
@@ -73,4 +76,5 @@
     target_roster::{
         GroupPace, GroupView, RosterChange, TargetDeparture, TargetList, TargetRoster,
     },
+    zone_evacuation::{EmptiedZones, MissedChanges, ZoneChange, ZoneEvacuation},
 };
--- a/crates/core/src/dispatch/route_table.rs
+++ b/crates/core/src/dispatch/route_table.rs
@@ -1,7 +1,8 @@
 //! Routes, services and teams of one configuration revision, as the operator has configured them.
 
 use {
-    crate::ids::{ServiceName, TeamName},
+    super::home_regions::{HomeZones, ZoneRegions},
+    crate::ids::{RegionName, ServiceName, TeamName},
     std::{
         collections::{HashMap, HashSet},
         result,
@@ -67,6 +68,8 @@
     pub pause_objective: Option<Duration>,
     /// Time without an event after which a caller leaves a stream; also applies to the first event.
     pub event_timeout: Duration,
+    /// Regions in which the requests may run; all if it is empty.
+    pub homes: Vec<RegionName>,
 }
 
 /// Performance figures of a model engine that runs several requests in each pass.
@@ -127,6 +130,8 @@
     pub name: TeamName,
     /// Priority that overrides that of the route, if any.
     pub priority: Option<u8>,
+    /// Regions in which the requests may run; all if it is empty.
+    pub homes: Vec<RegionName>,
 }
 
 /// Limits on the requests and connections of a caller.
@@ -161,6 +166,13 @@
 }
 
 impl RouteMatch {
+    /// Returns the zones in which the request may run. Where the route and the team both name home
+    /// regions, both bind.
+    pub fn home_zones(&self, regions: &ZoneRegions) -> HomeZones {
+        let team = self.team.as_ref().map(|team| team.homes.as_slice());
+        regions.home_zones(&[&self.route.homes, team.unwrap_or_default()])
+    }
+
     /// Returns the priority of the request: that of the team if it has one, else that of the route.
     pub fn priority(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.priority);
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -13,6 +13,7 @@
 
 use {
     super::{
+        home_regions::HomeZones,
         request_limits::{FleetShare, StartPace},
         target_entry::{DirectTarget, TargetKey},
         target_roster::TargetRoster,
@@ -72,28 +73,53 @@
     HeldOff(Instant),
     /// Targets accept requests, but none is usable.
     Unusable,
-    /// No target of the service is known, or all of them are leaving.
+    /// No target of the service is known in the home zones of the request, or all of them are
+    /// leaving.
     Absent,
+    /// All targets that could take the request are in emptied zones.
+    Emptied,
 }
 
-/// Chooses the target for a request, or returns why there is none.
+/// Chooses the target for a request that may run in every zone, or returns why there is none.
 pub fn choose_target(roster: &TargetRoster, input: &ChoiceInput<'_>, now: Instant) -> TargetChoice {
+    choose_home_target(roster, input, &HomeZones::default(), now)
+}
+
+/// Chooses the target for a request that may run in its home zones only, or returns why there is
+/// none.
+pub fn choose_home_target(
+    roster: &TargetRoster,
+    input: &ChoiceInput<'_>,
+    homes: &HomeZones,
+    now: Instant,
+) -> TargetChoice {
     let ready = || {
         let targets = roster.of_service(input.service);
         targets.filter(|(_, target)| target.takes_work())
     };
+    let is_home = |target: &DirectTarget| homes.contains(&target.entry.availability_zone);
+    let at_home = || ready().filter(|(_, target)| is_home(target));
     let mut summary = ServiceSummary::default();
     for (key, target) in ready() {
         summary.add(key, target, now);
     }
-    if summary.ready == 0 {
-        return TargetChoice::Absent;
+    if at_home().next().is_none() {
+        let mut targets = roster.of_service(input.service);
+        let waits = targets.any(|(_, target)| !target.is_leaving() && is_home(target));
+        return if waits {
+            TargetChoice::Emptied
+        } else {
+            TargetChoice::Absent
+        };
+    }
+    if homes.is_bound() {
+        summary.keep_home(is_home, now, at_home());
     }
-    if ready().all(|(key, _)| input.tried.contains(&key)) {
+    if at_home().all(|(key, _)| input.tried.contains(&key)) {
         return TargetChoice::Exhausted;
     }
     let slow = summary.slow_targets(roster, now);
-    let free = ready().filter(|(key, target)| {
+    let free = at_home().filter(|(key, target)| {
         is_usable(target, now)
             && !slow.contains(key)
             && !input.tried.contains(key)
@@ -147,7 +173,6 @@
 /// Totals over all targets of a service that accept requests.
 #[derive(Debug, Default)]
 struct ServiceSummary<'a> {
-    ready: usize,
     usable: usize,
     broken: usize,
     /// Earliest end of a hold-off.
@@ -160,7 +185,6 @@
 impl<'a> ServiceSummary<'a> {
     fn add(&mut self, key: TargetKey, target: &'a DirectTarget, now: Instant) {
         let is_usable = is_usable(target, now);
-        self.ready += 1;
         self.usable += usize::from(is_usable);
         if target.notice.is_held_off(now) && target.group_runs && !target.is_superseded {
             let until = target.notice.held_off_until.into_iter();
@@ -176,6 +200,19 @@
         }
     }
 
+    /// Leaves out the targets outside the home zones, except from the loads of groups, whose limits
+    /// count all ranks.
+    fn keep_home(
+        &mut self,
+        is_home: impl Fn(&DirectTarget) -> bool,
+        now: Instant,
+        at_home: impl Iterator<Item = (TargetKey, &'a DirectTarget)>,
+    ) {
+        let targets = at_home.map(|(_, target)| target);
+        self.usable = targets.filter(|target| is_usable(target, now)).count();
+        self.usable_ranks.retain(|(_, _, target)| is_home(target));
+    }
+
     /// Returns the usable targets that are slow, unless no other target is usable.
     fn slow_targets(&self, roster: &TargetRoster, now: Instant) -> HashSet<TargetKey> {
         let paces = self.group_loads.keys();
--- a/crates/core/src/dispatch/target_entry.rs
+++ b/crates/core/src/dispatch/target_entry.rs
@@ -149,6 +149,8 @@
     pub progress_at: Option<Instant>,
     /// Whether the entry may be of the copy from which the store was restored.
     pub is_unconfirmed: bool,
+    /// Whether the operator has emptied the target's availability zone.
+    pub is_emptied: bool,
     /// Time of the latest list that contained the target.
     pub listed_at: Instant,
 }
@@ -159,8 +161,14 @@
         self.own_in_flight.saturating_add(self.peer_in_flight)
     }
 
-    /// Returns whether the target accepts new requests according to the list and its own answers.
+    /// Returns whether the target is about to end, according to the list or its own answers.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.state != TargetState::Ready || self.notice.is_leaving
+    }
+
+    /// Returns whether the target may get new requests: it is not leaving, and its zone is not
+    /// emptied.
     pub fn takes_work(&self) -> bool {
-        self.entry.state == TargetState::Ready && !self.notice.is_leaving
+        !self.is_leaving() && !self.is_emptied
     }
 }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -10,10 +10,10 @@
         },
         target_health::TargetHealth,
     },
-    crate::ids::{GroupName, ServiceName},
+    crate::ids::{GroupName, ServiceName, ZoneName},
     slotmap::SlotMap,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         mem,
         net::SocketAddr,
         sync::Arc,
@@ -161,6 +161,8 @@
     services: Option<HashSet<ServiceName>>,
     /// Whether unconfirmed targets may have left without the knowledge of this gateway.
     doubts_unconfirmed: bool,
+    /// Availability zones that the operator has emptied.
+    emptied_zones: BTreeSet<ZoneName>,
 }
 
 impl TargetRoster {
@@ -268,6 +270,25 @@
         changes
     }
 
+    /// Sets the availability zones whose targets get no new requests.
+    pub fn set_emptied_zones(&mut self, zones: BTreeSet<ZoneName>) {
+        self.emptied_zones = zones;
+        self.mark_emptied();
+    }
+
+    fn mark_emptied(&mut self) {
+        for target in self.targets.values_mut() {
+            let zone = &target.entry.availability_zone;
+            target.is_emptied = self.emptied_zones.contains(zone);
+        }
+    }
+
+    /// Returns how many ranks of a group are in emptied zones.
+    pub fn emptied_ranks(&self, name: &GroupName) -> u32 {
+        let emptied = self.ranks_of(name).filter(|target| target.is_emptied);
+        u32::try_from(emptied.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the membership of a target in a group, unless its service is not configured.
     fn member<'a>(&self, target: &'a DirectTarget) -> Option<&'a GroupMember> {
         let services = self.services.as_ref();
@@ -305,6 +326,7 @@
                 }
             }
         }
+        self.mark_emptied();
         self.listed_at = Some(now);
         self.watch.drop_outdated(now);
         self.slow_ranks.drop_outdated(now);
@@ -371,7 +393,7 @@
 
     /// Returns the incarnations that this gateway knows to be leaving or gone.
     pub fn departures(&self) -> impl Iterator<Item = TargetDeparture> {
-        let leaving = self.targets.values().filter(|target| !target.takes_work());
+        let leaving = self.targets.values().filter(|target| target.is_leaving());
         let leaving = leaving.map(|target| TargetDeparture {
             id: Arc::clone(&target.entry.id),
             started_at_ms: target.entry.started_at_ms,
@@ -764,6 +786,7 @@
             is_superseded: false,
             progress_at: None,
             is_unconfirmed: false,
+            is_emptied: false,
             listed_at: now,
         });
         self.keys.insert(id, key);
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -75,6 +75,9 @@
     2027 CallerLeft Info "caller disconnected before the end of the answer";
     2028 RequestUnanswered Info "connection of a caller ended before the head of the answer";
     2029 TargetSilent Info "target is silent; its request stays with it until another target answers";
+    2040 ZoneEmptied Warn "operator has emptied an availability zone; its targets get no new requests";
+    2041 ZoneTakenBack Info "availability zone is no longer emptied";
+    2042 ZoneUnreadable Warn "row of an emptied zone has an invalid name";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -83,6 +83,8 @@
     InstanceName = "instance name";
     /// Name of an availability zone.
     ZoneName = "availability zone name";
+    /// Name of a region, which holds one or more availability zones.
+    RegionName = "region name";
     /// Name of a team, the group of callers to which limits and fair queueing apply.
     TeamName = "team name";
     /// Name of a service that callers send requests to.
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -38,6 +38,7 @@
         allows_anonymous: anonymous,
         pause_objective: None,
         event_timeout: Duration::from_secs(2),
+        homes: Vec::new(),
     }
 }
 
@@ -53,7 +54,14 @@
     table.add_route(route("/a/b/", false));
     table.add_route(route("/open/", true));
     let (name, priority) = ("press".parse().unwrap(), Some(1));
-    table.add_team(TeamRule { name, priority }, ["key-1".to_owned()]);
+    table.add_team(
+        TeamRule {
+            name,
+            priority,
+            homes: Vec::new(),
+        },
+        ["key-1".to_owned()],
+    );
     table
 }
 
--- a/crates/core/tests/odd_entries.rs
+++ b/crates/core/tests/odd_entries.rs
@@ -249,6 +249,7 @@
         allows_anonymous: true,
         pause_objective: None,
         event_timeout: Duration::from_secs(2),
+        homes: Vec::new(),
     };
     assert_eq!(route.pick_service(0.25), Some(&service()));
     assert_ne!(route.pick_service(0.75), Some(&service()));
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod caller_slots;
 pub mod callers;
 pub mod channels;
+pub mod emptied_zones;
 pub mod engines;
 pub mod exchange;
 pub mod group_bounds;
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -5,12 +5,14 @@
 //! Requests that cannot be answered in time are refused early, with a time to retry, instead of
 //! waiting in vain.
 
+mod home_requests;
+
 use {
     super::state::GatewayState,
     sassafrasslip_core::{
         dispatch::{
-            ChoiceInput, DispatchQueue, OutageStep, TargetChoice, TargetKey, WaitKey, WaitRefusal,
-            WaitingRequest, choose_target, decide_during_outage, start_pace,
+            ChoiceInput, DispatchQueue, HomeZones, OutageStep, TargetChoice, TargetKey, WaitKey,
+            WaitRefusal, WaitingRequest, choose_home_target, decide_during_outage, start_pace,
         },
         ids::ServiceName,
     },
@@ -33,6 +35,10 @@
 /// in the instance list within a heartbeat, and gateways read it within the list interval.
 const ABSENT_TARGET_RETRY_DELAY: Duration = Duration::from_millis(1500);
 
+/// Retry delay for callers of a service whose targets are all in emptied zones. An operator empties a
+/// zone for work that takes minutes, or takes it back at once when it was a mistake.
+const EMPTIED_RETRY_DELAY: Duration = Duration::from_secs(3);
+
 /// Retry delay for callers whose request has been tried at every target of its service. A full
 /// target has a free slot again as soon as one of its requests ends.
 const EXHAUSTED_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -55,6 +61,8 @@
     pub waiting_request: WaitingRequest,
     /// Targets of earlier attempts, which are not chosen again.
     pub tried: Vec<TargetKey>,
+    /// Zones whose targets may be chosen.
+    pub homes: HomeZones,
 }
 
 /// Slot at a target, occupied while a request is in flight there. Dropping the lease frees the slot
@@ -80,6 +88,7 @@
 #[derive(Debug)]
 struct Waiter {
     tried: Vec<TargetKey>,
+    homes: HomeZones,
     reply: oneshot::Sender<Result<TargetLease>>,
 }
 
@@ -130,6 +139,7 @@
         let key = queue.requests.push(request.waiting_request);
         let waiter = Waiter {
             tried: request.tried,
+            homes: request.homes,
             reply: sender,
         };
         queue.waiters.insert(key, waiter);
@@ -161,6 +171,7 @@
     state: &Rc<GatewayState>,
     service: &ServiceName,
     tried: &[TargetKey],
+    homes: &HomeZones,
 ) -> Option<TargetLease> {
     let input = ChoiceInput {
         service,
@@ -169,7 +180,7 @@
         group_limits: &HashMap::new(),
         draw: rand::random(),
     };
-    let choice = choose_target(&state.roster.borrow(), &input, Instant::now());
+    let choice = choose_home_target(&state.roster.borrow(), &input, homes, Instant::now());
     match choice {
         TargetChoice::Chosen(key) => Some(lease(state, service, key)),
         _ => None,
@@ -235,6 +246,8 @@
     GroupBroken(Instant),
     /// The service has no target that takes work.
     Absent,
+    /// All targets of the service are in emptied zones.
+    Emptied,
     /// All targets are in a hold-off, the first of which ends then.
     HeldOff(Instant),
 }
@@ -246,6 +259,7 @@
         match choice {
             TargetChoice::GroupBroken(since) => Some(Self::GroupBroken(since)),
             TargetChoice::Absent => Some(Self::Absent),
+            TargetChoice::Emptied => Some(Self::Emptied),
             TargetChoice::HeldOff(until) => Some(Self::HeldOff(until)),
             TargetChoice::Chosen(_)
             | TargetChoice::Exhausted
@@ -258,6 +272,7 @@
         match self {
             Self::GroupBroken(_) => "group misses a rank",
             Self::Absent => "no target takes work",
+            Self::Emptied => "the zones of all targets are emptied",
             Self::HeldOff(_) => "all targets turn requests away",
         }
     }
@@ -271,6 +286,7 @@
                 OutageStep::Refuse(retry_after) => Some(retry_after),
             },
             Self::Absent => request.can_return.then_some(ABSENT_TARGET_RETRY_DELAY),
+            Self::Emptied => Some(EMPTIED_RETRY_DELAY),
             Self::HeldOff(until) => {
                 let is_late = request.start_until < until;
                 is_late.then(|| until.saturating_duration_since(now))
@@ -282,6 +298,7 @@
     fn retry_after(self, now: Instant) -> Duration {
         match self {
             Self::GroupBroken(_) | Self::Absent => ABSENT_TARGET_RETRY_DELAY,
+            Self::Emptied => EMPTIED_RETRY_DELAY,
             Self::HeldOff(until) => until.saturating_duration_since(now),
         }
     }
@@ -296,10 +313,15 @@
     now: Instant,
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
 ) -> Option<UnavailableCause> {
+    home_requests::refuse_homeless(state, service, queue, now, outcomes);
     for key in queue.requests.order(now) {
         let is_late = queue.requests.is_late(key, now);
         let group_limits = state.bounds.borrow_mut().limits(now, is_late);
-        let tried = queue.waiters.get(key).map(|waiter| waiter.tried.as_slice());
+        let waiter = queue.waiters.get(key);
+        let tried = waiter.map(|waiter| waiter.tried.as_slice());
+        let homes = waiter
+            .map(|waiter| waiter.homes.clone())
+            .unwrap_or_default();
         let input = ChoiceInput {
             service,
             own_zone: &state.own_zone,
@@ -307,7 +329,7 @@
             group_limits: &group_limits,
             draw: rand::random(),
         };
-        let choice = choose_target(&state.roster.borrow(), &input, now);
+        let choice = choose_home_target(&state.roster.borrow(), &input, &homes, now);
         match choice {
             TargetChoice::Chosen(target) => {
                 queue.requests.start(key, now);
@@ -323,6 +345,8 @@
             // Free slots may exist only at targets that this request has tried already. Requests
             // behind it can use them.
             TargetChoice::Full if !input.tried.is_empty() => {}
+            // What keeps targets of some zones from the request says nothing of the others.
+            _ if homes.is_bound() => {}
             choice => {
                 let cause = UnavailableCause::of(choice)?;
                 refuse_unavailable(state, queue, cause, now, outcomes);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -62,6 +62,11 @@
     pub store_failures: Counter,
     /// Requests that are waiting for a target.
     pub waiting: Gauge,
+    /// Availability zones that the operator has emptied.
+    pub emptied_zones: Gauge,
+    /// Time from when the store first gave out a change of the emptied zones, here or to a peer, to
+    /// when it took effect here, in seconds.
+    pub zone_news_age: Histogram,
     /// Configuration revision in force; 0 before the first one.
     pub revision: Gauge,
 }
@@ -93,6 +98,8 @@
             map_changes: Counter::default(),
             store_failures: Counter::default(),
             waiting: Gauge::default(),
+            emptied_zones: Gauge::default(),
+            zone_news_age: duration_histogram(),
             revision: Gauge::default(),
         };
         registry.with(|registry| {
@@ -185,6 +192,16 @@
                 "Requests that wait for a target",
                 waiting,
             );
+            registry.register(
+                "gateway_emptied_zones",
+                "Availability zones that the operator has emptied",
+                metrics.emptied_zones.clone(),
+            );
+            registry.register(
+                "gateway_zone_news_age_seconds",
+                "Time until a change of the emptied zones took effect",
+                metrics.zone_news_age.clone(),
+            );
             let revision = metrics.revision.clone();
             registry.register(
                 "gateway_revision",
--- a/crates/daemon/src/gateway/part_watch.rs
+++ b/crates/daemon/src/gateway/part_watch.rs
@@ -63,7 +63,7 @@
         let checked_at = self.checked_at.borrow().get(key).copied();
         let is_running = checked_at.is_some_and(|at| at.elapsed() < CHECK_INTERVAL);
         let roster = self.roster.borrow();
-        let target = roster.get(key).filter(|target| target.takes_work());
+        let target = roster.get(key).filter(|target| !target.is_leaving());
         let target = target.filter(|_| !is_running);
         target.map(|target| target.entry.clone())
     }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -240,6 +240,7 @@
             .collect(),
         revision,
         document_era: document_era.value(),
+        emptied_zones: state.told_zones_record(now),
         ..part_news::encode(&state.quarantine.borrow(), now)
     };
     retries::add_usage(state, &mut report, now);
@@ -358,6 +359,7 @@
     part_news::apply(state, &report, now);
     retries::apply_usage(state, address, &report, now);
     note_configuration(state, address, &report, now);
+    state.note_reported_zones(&report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
     let own = state.own_address();
@@ -458,6 +460,7 @@
         document_era: rank.1.value(),
         departures,
         informed: state.is_informed(now),
+        emptied_zones: state.emptied_zones_record(now),
     }
 }
 
@@ -542,7 +545,7 @@
 /// recent instance list, when the store was restored, and when a peer has had a newer configuration
 /// for some time.
 pub async fn poll_peers(state: Rc<GatewayState>) {
-    let limit = state.options.configuration_limit;
+    let limit = state.options.operator_limit();
     let interval = SNAPSHOT_INTERVAL.min(limit.mul_f64(SNAPSHOT_INTERVAL_SHARE));
     let mut next_poll = Instant::now() + interval;
     // Gateways that are cut off together do not all poll the same peers.
@@ -703,6 +706,8 @@
             }
         }
     }
+    let zones = snapshot.emptied_zones.as_ref();
+    state.note_snapshot_zones(zones, is_current || is_stuck, is_stuck, requested_at);
     let ago = |age_ms| requested_at.checked_sub(Duration::from_millis(age_ms));
     let configured_at = ago(snapshot.configuration_age_ms);
     let is_confirmed = is_document_current && known_era.covers(configuration_era);
--- a/crates/daemon/src/gateway/refresh.rs
+++ b/crates/daemon/src/gateway/refresh.rs
@@ -69,7 +69,7 @@
 
 impl RefreshIntervals {
     fn new(options: &GatewayOptions) -> Self {
-        let (configuration, drain) = (options.configuration_limit, options.drain_limit);
+        let (configuration, drain) = (options.operator_limit(), options.drain_limit);
         Self {
             change_wait: CHANGE_WAIT.min(configuration.mul_f64(CHANGE_WAIT_SHARE)),
             configuration_age: configuration.mul_f64(CONFIGURATION_AGE_SHARE),
@@ -122,7 +122,7 @@
     let intervals = RefreshIntervals::new(&state.options);
     loop {
         let now = Instant::now();
-        let has_reader = peers::zone_reader(&state, now).is_some();
+        let has_reader = peers::zone_reader(&state, now).is_some() && state.knows_emptied_zones();
         if has_reader && state.configuration_age(now) < intervals.configuration_age {
             sleep(READER_CHECK_INTERVAL).await;
             continue;
@@ -162,15 +162,16 @@
 ) -> Result<Option<StoreStamp>, Report<StoreError>> {
     let Some(stamp) = stamp else {
         let asked_at = Instant::now();
-        let (document, stamp) = store.read_configuration().await?;
-        let Some(stamp) = state.note_stamp(stamp, asked_at) else {
+        let rows = store.read_configuration().await?;
+        let Some(stamp) = state.note_stamp(rows.stamp, asked_at) else {
             sleep(STALE_PAUSE).await;
             return Ok(None);
         };
         if newest.era > stamp.era {
             *newest = StoreStamp::default();
         }
-        apply_document(state, &document, stamp);
+        state.note_zone_rows(rows.zones, stamp);
+        apply_document(state, &rows.document, stamp);
         // While the store has lost its history, it may answer a read with an old version.
         if stamp < *newest {
             sleep(STALE_PAUSE).await;
@@ -183,17 +184,25 @@
         .await_configuration(stamp, intervals.change_wait)
         .await?
     {
-        ConfigurationUpdate::Changed {
+        ConfigurationUpdate::Followed {
             document,
+            zones,
             stamp: next,
         } => {
-            apply_document(state, &document, next);
+            let zones_stamp = StoreStamp {
+                era: stamp.era,
+                ..next
+            };
+            let is_complete = state.note_changed_zone_rows(zones, stamp, zones_stamp);
             *newest = next.max(*newest);
-            Ok(Some(next))
-        }
-        ConfigurationUpdate::Unchanged(next) => {
-            *newest = next.max(*newest);
-            Ok(Some(next.max(stamp)))
+            let next = match document {
+                Some(document) => {
+                    apply_document(state, &document, next);
+                    next
+                }
+                None => next.max(stamp),
+            };
+            Ok(is_complete.then_some(next))
         }
         ConfigurationUpdate::HistoryLost => Ok(None),
     }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -101,7 +101,7 @@
             return Err(LocalReply::not_run(STOP_REASON, STOP_RETRY_DELAY));
         }
     };
-    let table = state.table();
+    let table = state.table().filter(|_| state.knows_emptied_zones());
     let table = table
         .ok_or_else(|| LocalReply::not_run("no configuration yet", UNCONFIGURED_RETRY_DELAY))?;
     let found = table.find(&caller.host, parts.uri.path(), caller.key.as_deref());
@@ -361,6 +361,7 @@
             service: self.service.clone(),
             waiting_request: self.waiting_request(),
             tried: self.tried.clone(),
+            homes: self.state.home_zones(&self.matched),
         }
     }
 
@@ -452,14 +453,15 @@
         {
             return None;
         }
-        let lease = admission::acquire_for_move(&self.state, &self.service, &self.tried)?;
+        let lease = self.acquire_other_target()?;
         self.reserve_move(Instant::now()).then_some(lease)
     }
 
     /// Takes a slot at another target for a stream whose target is silent; `None` if there is none.
     /// The retry has been reserved before.
     pub(super) fn acquire_other_target(&self) -> Option<TargetLease> {
-        admission::acquire_for_move(&self.state, &self.service, &self.tried)
+        let homes = self.state.home_zones(&self.matched);
+        admission::acquire_for_move(&self.state, &self.service, &self.tried, &homes)
     }
 
     /// Returns whether a retry has been reserved for a move that was not tried yet.
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -22,6 +22,7 @@
             LimitNews, PeerInquiry, PeerTable, RequestQuarantine, RequestRate, RetryBudgets,
             RetryHandover, RetryRule, RosterChange, RouteRule, RouteTable, Slowdown, StopPlan,
             StoreEra, StoreStamp, TargetDeparture, TargetKey, TargetList, TargetRoster,
+            ZoneEvacuation,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, PeerTableRejected, StoreAnswerOutdated, StoreEraAbandoned,
@@ -112,6 +113,8 @@
     pub inquiry: RefCell<PeerInquiry>,
     /// Notified when there may be a peer to ask for the inquiry.
     pub inquiry_due: Notify,
+    /// Availability zones that the operator has emptied.
+    pub evacuation: RefCell<ZoneEvacuation>,
     /// Peer with a newer configuration than this gateway.
     pub newer_peer: Cell<Option<NewerPeer>>,
     /// By peer, the rank of its configuration that cannot be used here.
@@ -186,9 +189,13 @@
     /// Creates the state of a gateway that has no configuration, targets or peers yet.
     pub fn new(
         instance: &InstanceOptions,
-        options: GatewayOptions,
+        mut options: GatewayOptions,
         metrics: GatewayMetrics,
     ) -> Self {
+        if let Ok(region) = instance.region.as_str().parse() {
+            let zone = instance.availability_zone.clone();
+            options.zone_regions.add(zone, region);
+        }
         let retry_rule = RetryRule {
             window: options.retry_window,
             ratio: options.retry_ratio,
@@ -214,6 +221,7 @@
             document_era: Cell::default(),
             inquiry: RefCell::default(),
             inquiry_due: Notify::new(),
+            evacuation: RefCell::default(),
             newer_peer: Cell::new(None),
             refused_ranks: RefCell::default(),
             rejected_document: Cell::new(0),
@@ -623,8 +631,11 @@
             return;
         };
         let pace = roster.group_pace(&member.name, Instant::now());
+        let ranks = member
+            .size
+            .saturating_sub(roster.emptied_ranks(&member.name));
         let load = GroupLoad {
-            ranks: member.size,
+            ranks: ranks.max(1),
             in_flight: roster.group_load(&member.name),
             pause_objective: objective,
             slow_ranks: pace.slow_ranks,
@@ -746,12 +757,13 @@
         now.saturating_duration_since(self.started_at) >= SETTLED_AFTER
     }
 
-    /// Returns whether the gateway has a configuration and knows targets, so that it can serve
-    /// requests. After its start it waits for peers, if it has any, before it relies on a store that
+    /// Returns whether the gateway has a configuration, knows targets and the emptied zones, so that
+    /// it can serve requests. After its start it waits for peers, if it has any, before it relies on a store that
     /// may hold the content of a copy.
     pub fn can_serve(&self, now: Instant) -> bool {
         let has_peers = !self.options.seeds.is_empty() || self.peers.borrow().known().len() > 0;
         self.table.borrow().is_some()
+            && self.knows_emptied_zones()
             && !self.roster.borrow().is_empty()
             && !(has_peers && self.inquiry.borrow().delays_start(now))
     }
--- a/crates/daemon/src/options/gateway.rs
+++ b/crates/daemon/src/options/gateway.rs
@@ -1,7 +1,8 @@
 //! Section `gateway` of the settings file.
 
 use {
-    super::units::{AddressText, AddressesText, AmountText, PositiveDurationText},
+    super::units::{AddressText, AddressesText, AmountText, PositiveDurationText, ZoneRegionsText},
+    sassafrasslip_core::dispatch::ZoneRegions,
     serde::Deserialize,
     serde_with::{DisplayFromStr, serde_as},
     std::{net::SocketAddr, time::Duration},
@@ -54,12 +55,30 @@
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_configuration_limit")]
     pub configuration_limit: Duration,
+    /// Time within which the targets of an emptied zone must stop receiving new requests; `None` if
+    /// the platform names none.
+    #[serde_as(as = "Option<PositiveDurationText>")]
+    #[serde(default)]
+    pub evacuation_limit: Option<Duration>,
+    /// Region of each availability zone.
+    #[serde_as(as = "ZoneRegionsText")]
+    #[serde(default)]
+    pub zone_regions: ZoneRegions,
     /// Time from the stop signal until the supervisor kills the process.
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_stop_limit")]
     pub stop_limit: Duration,
 }
 
+impl GatewayOptions {
+    /// Returns the time within which every change of the operator must be in force.
+    pub fn operator_limit(&self) -> Duration {
+        let limits = [Some(self.configuration_limit), self.evacuation_limit];
+        let limits = limits.into_iter().flatten();
+        limits.min().unwrap_or(self.configuration_limit)
+    }
+}
+
 fn default_retry_ratio() -> f64 {
     0.1
 }
--- a/crates/daemon/src/options/units.rs
+++ b/crates/daemon/src/options/units.rs
@@ -1,6 +1,7 @@
 //! Adapters for `serde_as` that parse a setting's text and check its unit or range.
 
 use {
+    sassafrasslip_core::dispatch::ZoneRegions,
     serde::{Deserialize, Deserializer, de},
     serde_with::DeserializeAs,
     std::{net::SocketAddr, result, time::Duration},
@@ -18,6 +19,10 @@
 #[derive(Debug)]
 pub struct AddressesText;
 
+/// Availability zones with their regions, written as `ZONE/REGION` and separated by commas.
+#[derive(Debug)]
+pub struct ZoneRegionsText;
+
 /// Ratio from 0 to 1.
 #[derive(Debug)]
 pub struct RatioText;
@@ -68,6 +73,21 @@
     }
 }
 
+impl<'de> DeserializeAs<'de, ZoneRegions> for ZoneRegionsText {
+    fn deserialize_as<D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> result::Result<ZoneRegions, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let pairs = text.split(',').map(str::trim);
+        let pairs = pairs.filter(|pair| !pair.is_empty()).map(|pair| {
+            let (zone, region) = pair.split_once('/')?;
+            Some((zone.trim().parse().ok()?, region.trim().parse().ok()?))
+        });
+        let regions: Option<ZoneRegions> = pairs.collect();
+        regions.ok_or_else(|| de::Error::custom("expected ZONE/REGION, separated by commas"))
+    }
+}
+
 impl<'de> DeserializeAs<'de, f64> for RatioText {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<f64, D::Error> {
         let text = String::deserialize(deserializer)?;
--- a/crates/daemon/tests/rendered_settings.rs
+++ b/crates/daemon/tests/rendered_settings.rs
@@ -81,6 +81,32 @@
     seconds_beyond_the_clock: ("stop_limit = 1e300 s", MAX_DURATION);
 }
 
+fn check_evacuation(value: &str, expected: Option<Duration>, operator_limit: Duration) {
+    let options = load(&format!("evacuation_limit = {value}")).unwrap();
+    assert_eq!(options.evacuation_limit, expected);
+    assert_eq!(options.operator_limit(), operator_limit);
+}
+
+test_cases! {
+    fn check_evacuation(value: &str, expected: Option<Duration>, operator_limit: Duration);
+    absent_evacuation: ("", None, Duration::from_secs(2));
+    long_evacuation: ("5000.0 ms", Some(Duration::from_secs(5)), Duration::from_secs(2));
+    short_evacuation: ("500 ms", Some(Duration::from_millis(500)), Duration::from_millis(500));
+}
+
+fn check_regions(value: &str, expected: &[(&str, &str)]) {
+    let options = load(&format!("zone_regions = {value}")).unwrap();
+    let regions = expected.iter();
+    let regions = regions.map(|(zone, region)| (zone.parse().unwrap(), region.parse().unwrap()));
+    assert_eq!(options.zone_regions, regions.collect());
+}
+
+test_cases! {
+    fn check_regions(value: &str, expected: &[(&str, &str)]);
+    absent_regions: ("", &[]);
+    regions_of_two_zones: ("ruwi/muscat,seeb/muscat", &[("ruwi", "muscat"), ("seeb", "muscat")]);
+}
+
 fn check_first_start(value: &str, expected: bool) {
     let options = load(&format!("first_start = {value}")).unwrap();
     assert_eq!(options.first_start, expected);
@@ -107,5 +133,7 @@
     negative_duration: ("drain_limit = -1 ms", "expected a number above 0 with ms or s");
     duration_of_zero: ("drain_limit = 0 ms", "expected a number above 0 with ms or s");
     first_start_that_is_no_truth_value: ("first_start = yes", "`true` or `false`");
+    evacuation_of_zero: ("evacuation_limit = 0 ms", "expected a number above 0 with ms or s");
+    zone_without_a_region: ("zone_regions = ruwi", "expected ZONE/REGION");
     infinite_duration: ("stop_limit = inf s", "expected a number above 0 with ms or s");
 }
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -4,7 +4,7 @@
 use {
     prost::Message,
     sassafrasslip_proto::peer::{
-        CrashRecord, DepartureRecord, LimitRecord, LoadReport, PartProofRecord,
+        CrashRecord, DepartureRecord, EmptiedZonesRecord, LimitRecord, LoadReport, PartProofRecord,
         PreviousUsageRecord, QuarantineRecord, RequestCrashRecord, RetryUsageRecord,
         SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
     },
@@ -260,3 +260,26 @@
     let read = EarlierReport::decode(&*news.encode_to_vec()).unwrap();
     assert_eq!(read, earlier_report());
 }
+
+/// Guards against a report or snapshot of an earlier build that reads as one without emptied zones,
+/// and thus takes back a zone.
+#[test]
+fn absent_emptied_zones_differ_from_none() {
+    let none = Some(EmptiedZonesRecord::default());
+    let told = LoadReport {
+        emptied_zones: none.clone(),
+        ..report()
+    };
+    let bytes = told.encode_to_vec();
+    assert_eq!(LoadReport::decode(&*bytes), Ok(told));
+    assert_eq!(EarlierReport::decode(&*bytes), Ok(earlier_report()));
+    let earlier = LoadReport::decode(&*earlier_report().encode_to_vec()).unwrap();
+    assert_eq!(earlier.emptied_zones, None);
+    let earlier = Snapshot::decode(&*earlier_snapshot().encode_to_vec()).unwrap();
+    assert_eq!(earlier.emptied_zones, None);
+    let held = Snapshot {
+        emptied_zones: none,
+        ..snapshot()
+    };
+    assert_eq!(Snapshot::decode(&*held.encode_to_vec()), Ok(held));
+}
