--- a/crates/core/src/dispatch/table_review.rs
+++ b/crates/core/src/dispatch/table_review.rs
@@ -7,7 +7,7 @@
         route_table::{RepeatRule, RouteRule, ServiceRule, TeamRule},
         table_rules::TableRules,
     },
-    crate::ids::ServiceName,
+    crate::ids::{RegionName, ServiceName},
     serde::Serialize,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -441,6 +441,7 @@
         ("services", services.join(", ")),
         ("attempts", route.attempts.to_string()),
         ("anonymous", route.allows_anonymous.to_string()),
+        ("homes", region_names(&route.homes)),
     ]
 }
 
@@ -462,13 +463,16 @@
 
 fn team_fields(team: &TeamRule) -> FieldValues {
     let priority = team.priority;
-    vec![(
-        "priority",
-        priority.map_or_else(
-            || "of the route".to_owned(),
-            |priority| priority.to_string(),
-        ),
-    )]
+    let priority = priority.map_or_else(|| "of the route".to_owned(), |value| value.to_string());
+    vec![
+        ("priority", priority),
+        ("homes", region_names(&team.homes)),
+    ]
+}
+
+fn region_names(regions: &[RegionName]) -> String {
+    let names: Vec<_> = regions.iter().map(RegionName::as_str).collect();
+    names.join(", ")
 }
 
 /// Duration that is written in milliseconds.
