Pace requests to cold, new and recovered targets

Cause: after an ejection or a start a target got one trial request of each gateway and then everything, and nothing read the cold times and cold bounds of the list, the configuration and the answers, so that a cold target could get more than its service tolerates.

Change: dispatch::target_pace gives each gateway due times of its own at a cold target, which keep the bound (cold_ratio, cold_allowance) in every second over all gateways without an exchange; unused due times lapse. With find_pace a target that joined, recovered or turned cold starts at an eighth of a usual target's share, doubles with each quick answer and halves with each slow, rejected or failed one.

Ruled out: RequestLimits as it is, whose unused due times stay usable, so that idle gateways start at once when a group opens.

Process tests not run.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -31,6 +31,7 @@
 pub mod target_choice;
 pub mod target_entry;
 pub mod target_health;
+pub mod target_pace;
 pub mod target_roster;
 
 pub use {
@@ -70,6 +71,9 @@
         DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
     },
     target_health::TargetHealth,
+    target_pace::{
+        ColdRule, FirstAnswer, PaceChange, PaceInput, PaceNews, PaceRule, PacedTarget, TargetPacer,
+    },
     target_roster::{
         GroupPace, GroupView, RosterChange, TargetDeparture, TargetList, TargetRoster,
     },
--- a/crates/core/src/dispatch/route_table.rs
+++ b/crates/core/src/dispatch/route_table.rs
@@ -1,6 +1,7 @@
 //! Routes, services and teams of one configuration revision, as the operator has configured them.
 
 use {
+    super::target_pace::ColdRule,
     crate::ids::{ServiceName, TeamName},
     std::{
         collections::{HashMap, HashSet},
@@ -118,6 +119,8 @@
     pub channel_limit: u32,
     /// Performance figures of the model engine; `None` for a plain service.
     pub engine: Option<EngineProfile>,
+    /// Load that a cold target tolerates; `None` if the configuration names none.
+    pub cold: Option<ColdRule>,
 }
 
 /// Team of callers that share keys.
--- a/crates/core/src/dispatch/target_entry.rs
+++ b/crates/core/src/dispatch/target_entry.rs
@@ -2,12 +2,13 @@
 //! that this gateway knows of it.
 
 use {
-    super::target_health::TargetHealth,
+    super::{target_health::TargetHealth, target_pace::PacedTarget},
     crate::ids::{GroupName, ServiceName, ZoneName},
     slotmap::new_key_type,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
+        time::Duration,
     },
     tokio::time::Instant,
 };
@@ -71,6 +72,8 @@
     pub started_at_ms: u64,
     /// Membership in a group, if the target is a rank of a model engine.
     pub group: Option<GroupMember>,
+    /// How much longer the target was cold when it wrote the entry; `None` if it did not say.
+    pub cold_for: Option<Duration>,
 }
 
 impl TargetEntry {
@@ -163,4 +166,14 @@
     pub fn takes_work(&self) -> bool {
         self.entry.state == TargetState::Ready && !self.notice.is_leaving
     }
+
+    /// Returns the target as the pacer sees it.
+    pub fn paced(&self) -> PacedTarget<'_> {
+        PacedTarget {
+            target: self.name_hash,
+            service: &self.entry.service,
+            group: self.entry.group.as_ref().map(|member| &member.name),
+            is_usable: self.takes_work() && self.group_runs && !self.is_superseded,
+        }
+    }
 }
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -9,6 +9,7 @@
             DirectTarget, GroupMember, TargetEntry, TargetId, TargetKey, TargetNotice, TargetState,
         },
         target_health::TargetHealth,
+        target_pace::{PaceChange, PaceInput, TargetPacer},
     },
     crate::ids::{GroupName, ServiceName},
     slotmap::SlotMap,
@@ -148,6 +149,8 @@
     slow_ranks: SlowRanks,
     /// Limits on the rate of requests that targets have named.
     limits: RequestLimits,
+    /// Paces of targets that are cold, have just started or recovered.
+    pacer: TargetPacer,
     /// Notices of targets that are no longer listed.
     notices: HashMap<TargetId, KeptNotice>,
     /// Latest incarnations of targets that are no longer listed.
@@ -470,9 +473,56 @@
         self.limits.note(target, news, share, now)
     }
 
-    /// Returns whether the limit of a target, if it has one, allows this gateway a request now.
+    /// Returns the paces of targets.
+    pub fn pacer(&self) -> &TargetPacer {
+        &self.pacer
+    }
+
+    /// Returns the paces of targets for modification.
+    pub fn pacer_mut(&mut self) -> &mut TargetPacer {
+        &mut self.pacer
+    }
+
+    /// Updates the paces of targets; returns their changes since the last update.
+    pub fn update_paces(&mut self, input: PaceInput, now: Instant) -> Vec<(u32, PaceChange)> {
+        let targets: Vec<_> = self.targets.values().map(DirectTarget::paced).collect();
+        self.pacer.update(input, &targets, now)
+    }
+
+    /// Begins to find the pace of a target that is back after an outage or from a zone that was
+    /// emptied.
+    pub fn begin_pace(&mut self, key: TargetKey, now: Instant) -> Option<PaceChange> {
+        self.pacer.begin(self.targets.get(key)?.paced(), now)
+    }
+
+    /// Records the cold time that a target has named in an answer; returns the change.
+    pub fn note_cold(
+        &mut self,
+        key: TargetKey,
+        cold_for: Duration,
+        now: Instant,
+    ) -> Option<PaceChange> {
+        let target = self.targets.get(key)?;
+        self.pacer.note_cold_answer(target.paced(), cold_for, now)
+    }
+
+    /// Records the cold time of a target that a peer has reported, by the hash of the target's
+    /// name; returns the change.
+    pub fn note_peer_cold(
+        &mut self,
+        target: u32,
+        cold_for: Duration,
+        now: Instant,
+    ) -> Option<PaceChange> {
+        let mut targets = self.targets.values();
+        let target = targets.find(|known| known.name_hash == target)?;
+        self.pacer.note_cold(target.paced(), cold_for, now)
+    }
+
+    /// Returns whether the limit and the pace of a target, if it has them, allow this gateway a
+    /// request now.
     pub fn admits(&self, target: &DirectTarget, now: Instant) -> bool {
-        self.limits.admits(target.name_hash, now)
+        self.limits.admits(target.name_hash, now) && self.pacer.admits(target.name_hash, now)
     }
 
     /// Records that this gateway sends a request to a target.
@@ -481,6 +531,8 @@
             target.own_in_flight += 1;
             target.health.record_start();
             self.limits.record_start(target.name_hash, share, now);
+            self.pacer
+                .record_start(target.name_hash, &target.entry.service, now);
         }
     }
 
@@ -738,13 +790,19 @@
                 target.entry = entry;
                 target.is_unconfirmed = false;
                 target.listed_at = now;
+                let cold_for = target.entry.cold_for;
+                self.pacer.record_listed(target.paced(), cold_for, now);
                 return;
             }
             self.limits.forget(self.targets[key].name_hash);
             self.remove(key, now, changes);
         }
         let id = Arc::clone(&entry.id);
-        self.departed.remove(&id);
+        // An entry that had only lapsed is of a target that has run all the while.
+        let departed = self.departed.remove(&id);
+        let had_lapsed = departed.is_some_and(|departed| {
+            departed.started_at_ms == entry.started_at_ms && entry.started_at_ms > 0
+        });
         let kept = self.notices.remove(&id).filter(|kept| {
             kept.started_at_ms == entry.started_at_ms && kept.address == entry.address
         });
@@ -766,6 +824,11 @@
             is_unconfirmed: false,
             listed_at: now,
         });
+        let target = &self.targets[key];
+        let runs_longer = had_lapsed || self.listed_at.is_none();
+        let cold_for = target.entry.cold_for;
+        self.pacer
+            .record_joined(target.paced(), cold_for, runs_longer, now);
         self.keys.insert(id, key);
         changes.push(RosterChange::Joined(key));
     }
@@ -773,6 +836,7 @@
     fn remove(&mut self, key: TargetKey, now: Instant, changes: &mut Vec<RosterChange>) {
         if let Some(target) = self.targets.remove(key) {
             self.keys.remove(&target.entry.id);
+            self.pacer.forget(target.name_hash);
             if target.notice != TargetNotice::default() {
                 let kept = KeptNotice {
                     started_at_ms: target.entry.started_at_ms,
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -75,6 +75,9 @@
     2027 CallerLeft Info "caller disconnected before the end of the answer";
     2028 RequestUnanswered Info "connection of a caller ended before the head of the answer";
     2029 TargetSilent Info "target is silent; its request stays with it until another target answers";
+    2045 TargetCold Info "target is cold and gets requests at a bounded rate";
+    2046 PaceBegun Info "pace of a target is found from its answers";
+    2047 TargetCarries Info "target carries its share";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -89,6 +89,7 @@
 
 fn entry(id: &str, availability_zone: &str) -> TargetEntry {
     TargetEntry {
+        cold_for: None,
         id: id.into(),
         service: service(),
         address: "10.0.0.1:80".parse().unwrap(),
@@ -109,6 +110,7 @@
         is_open,
     };
     TargetEntry {
+        cold_for: None,
         group: Some(group),
         ..entry(id, "ruwi")
     }
--- a/crates/core/tests/odd_entries.rs
+++ b/crates/core/tests/odd_entries.rs
@@ -27,6 +27,7 @@
 
 fn rank(id: &str, number: u32) -> TargetEntry {
     TargetEntry {
+        cold_for: None,
         id: id.into(),
         service: service(),
         address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
--- a/crates/core/tests/silent_group.rs
+++ b/crates/core/tests/silent_group.rs
@@ -48,6 +48,7 @@
 
 fn rank(number: u32) -> TargetEntry {
     TargetEntry {
+        cold_for: None,
         id: format!("r{number}").as_str().into(),
         service: "drafting".parse().unwrap(),
         address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
--- a/crates/core/tests/slow_ranks.rs
+++ b/crates/core/tests/slow_ranks.rs
@@ -130,6 +130,7 @@
 
 fn roster(ranks: usize, now: Instant) -> TargetRoster {
     let entries = (0..ranks).map(|rank| TargetEntry {
+        cold_for: None,
         id: format!("i-{rank}").into(),
         service: "press".parse().unwrap(),
         address: ([10, 0, 0, rank as u8], 8000).into(),
--- a/crates/core/tests/store_history.rs
+++ b/crates/core/tests/store_history.rs
@@ -24,6 +24,7 @@
 
 fn entry(id: &str, started_at_ms: u64) -> TargetEntry {
     TargetEntry {
+        cold_for: None,
         id: id.into(),
         service: "orders".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -486,6 +486,7 @@
     let now = Instant::now();
     let mut roster = TargetRoster::default();
     let ranks = (0..63).map(|rank| TargetEntry {
+        cold_for: None,
         id: format!("r{rank}").as_str().into(),
         service: "drafting".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -30,6 +30,7 @@
 pub mod retries;
 pub mod state;
 pub mod supervisor;
+pub mod target_pace;
 
 use {
     self::{
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -60,6 +60,10 @@
     pub map_changes: Counter,
     /// Failed calls to the platform's store.
     pub store_failures: Counter,
+    /// Targets that are cold and get requests at a bounded rate.
+    pub cold_targets: Gauge,
+    /// Targets whose pace is found from their answers, because they do not carry their share yet.
+    pub paced_targets: Gauge,
     /// Requests that are waiting for a target.
     pub waiting: Gauge,
     /// Configuration revision in force; 0 before the first one.
@@ -92,6 +96,8 @@
             quarantined_requests: Gauge::default(),
             map_changes: Counter::default(),
             store_failures: Counter::default(),
+            cold_targets: Gauge::default(),
+            paced_targets: Gauge::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
         };
@@ -179,6 +185,11 @@
                 "Failed calls to the store",
                 metrics.store_failures.clone(),
             );
+            let cold = metrics.cold_targets.clone();
+            registry.register("gateway_cold_targets", "Cold targets", cold);
+            let paced = metrics.paced_targets.clone();
+            let help = "Targets that do not carry their share yet";
+            registry.register("gateway_paced_targets", help, paced);
             let waiting = metrics.waiting.clone();
             registry.register(
                 "gateway_waiting",
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -12,6 +12,7 @@
         peer_frames::{request_frames, snapshot_frames},
         retries,
         state::{GatewayState, NewerPeer, ipv4},
+        target_pace,
     },
     crate::listen,
     bytes::{Bytes, BytesMut},
@@ -145,6 +146,7 @@
         let now = Instant::now();
         state.peers.borrow_mut().add_candidates(seeds(&state), now);
         remove_silent_peers(&state, now);
+        target_pace::update(&state, now);
         let mut report = own_report(&state, incarnation, sequence);
         let is_idle = report.targets.is_empty();
         let (known, remote) = {
@@ -242,7 +244,9 @@
         document_era: document_era.value(),
         ..part_news::encode(&state.quarantine.borrow(), now)
     };
+    drop(roster);
     retries::add_usage(state, &mut report, now);
+    target_pace::add_records(state, &mut report, now);
     report
 }
 
@@ -357,6 +361,7 @@
     }
     part_news::apply(state, &report, now);
     retries::apply_usage(state, address, &report, now);
+    target_pace::apply_records(state, &report, now);
     note_configuration(state, address, &report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
@@ -437,7 +442,10 @@
         // Targets that are only kept here although they are no longer listed are left out: the peer
         // may know that they have gone.
         let roster = state.roster.borrow();
-        roster.listed_targets().map(target_record).collect()
+        roster
+            .listed_targets()
+            .map(|target| target_record(&roster, target))
+            .collect()
     };
     let departures = if request.wants_departures {
         let roster = state.roster.borrow();
@@ -474,12 +482,13 @@
 /// the zone's reader 1.7 times a second, while the list changes a few times a minute. With the
 /// digest, an unchanged list costs only a few bytes.
 pub fn list_digest(roster: &TargetRoster) -> u64 {
-    let records = roster.listed_targets().map(target_record);
+    let records = roster.listed_targets();
+    let records = records.map(|target| target_record(roster, target));
     let digests = records.map(|record| xxh3_64(&record.encode_to_vec()));
     digests.fold(0, u64::wrapping_add)
 }
 
-fn target_record(target: &DirectTarget) -> TargetRecord {
+fn target_record(roster: &TargetRoster, target: &DirectTarget) -> TargetRecord {
     let entry = &target.entry;
     TargetRecord {
         id: entry.id.to_string(),
@@ -497,6 +506,7 @@
             is_open: member.is_open,
         }),
         unconfirmed: target.is_unconfirmed,
+        cold_for_ms: target_pace::cold_remaining(roster, target),
     }
 }
 
@@ -524,6 +534,7 @@
         },
         started_at_ms: record.started_at_ms,
         group,
+        cold_for: record.cold_for_ms.map(target_pace::milliseconds),
     })
 }
 
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -20,7 +20,7 @@
     http_body_util::Full,
     hyper::Response,
     sassafrasslip_core::{
-        dispatch::{EventSplitter, TargetKey, may_run_beside},
+        dispatch::{EventSplitter, FirstAnswer, TargetKey, may_run_beside},
         events::LogEvent::TargetSilent,
         log_event,
     },
@@ -249,6 +249,17 @@
         );
     }
 
+    fn record_paced_answer(&self, key: TargetKey, now: Instant) {
+        if let Some(current) = self.current.filter(|current| current.key == key) {
+            let answer = FirstAnswer {
+                is_stream: self.matched.route.repeat.is_stream(),
+                sent_at: current.sent_at,
+                arrived_at: now,
+            };
+            self.state.record_paced_answer(key, answer);
+        }
+    }
+
     /// Takes the answer of the current attempt. A server error is no answer if the request may be
     /// repeated: another target may succeed, and `failure` is forwarded if none does. Neither is a
     /// stream without events while another attempt is pending.
@@ -272,6 +283,7 @@
                 }
                 self.state.record_success(key);
                 self.state.record_first_answer(&self.service, elapsed);
+                self.record_paced_answer(key, now);
                 return Ok(RequestOutcome::Started(started));
             }
         };
@@ -290,6 +302,7 @@
             self.state.record_answer(&self.traits, now);
         }
         self.state.record_first_answer(&self.service, elapsed);
+        self.record_paced_answer(key, now);
         self.record_answered(status);
         Ok(RequestOutcome::Answered(response))
     }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -357,6 +357,7 @@
         self.metrics
             .revision
             .set(i64::try_from(table.revision).unwrap_or(i64::MAX));
+        self.set_cold_rules(&table);
         let services = table.service_names().cloned().collect();
         let changes = self
             .roster
@@ -541,6 +542,7 @@
         now: Instant,
     ) {
         self.record_limit(key, head, started_at, now);
+        self.record_cold_time(key, head, now);
         let mut roster = self.roster.borrow_mut();
         let leaves = head.is_leaving && roster.note_leaving(key);
         let until = head.hold_off.map(|hold_off| now + hold_off);
@@ -836,8 +838,14 @@
     /// Records a successful attempt, which also shows that the group of the target runs.
     pub fn record_success(&self, key: TargetKey) {
         let mut roster = self.roster.borrow_mut();
+        let mut has_recovered = false;
         if let Some(target) = roster.get_mut(key) {
+            let was_ejected = target.health.is_ejected();
             target.health.record_success(Instant::now());
+            has_recovered = was_ejected && !target.health.is_ejected();
+        }
+        if has_recovered {
+            self.begin_pace(&mut roster, key);
         }
         let changes = roster.note_running_group(key, Instant::now());
         drop(roster);
@@ -855,6 +863,10 @@
     /// idle connections are closed.
     pub fn record_failure(&self, key: TargetKey, now: Instant) {
         let mut roster = self.roster.borrow_mut();
+        let Some(target) = roster.get(key).map(|target| target.name_hash) else {
+            return;
+        };
+        roster.pacer_mut().record_failure(target, now);
         let Some(target) = roster.get_mut(key) else {
             return;
         };
--- a/crates/daemon/src/options/gateway.rs
+++ b/crates/daemon/src/options/gateway.rs
@@ -54,6 +54,19 @@
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_configuration_limit")]
     pub configuration_limit: Duration,
+    /// Most requests of all gateways to a cold target in any second, as a ratio of the rate that the
+    /// configuration names.
+    #[serde_as(as = "AmountText")]
+    #[serde(default = "default_cold_ratio")]
+    pub cold_ratio: f64,
+    /// Requests that a cold target may get in any second beyond the ratio.
+    #[serde_as(as = "AmountText")]
+    #[serde(default)]
+    pub cold_allowance: f64,
+    /// Whether the pace of a target that has just started or recovered is found from its answers.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(default)]
+    pub find_pace: bool,
     /// Time from the stop signal until the supervisor kills the process.
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_stop_limit")]
@@ -80,6 +93,10 @@
     Duration::from_secs(2)
 }
 
+fn default_cold_ratio() -> f64 {
+    1.0
+}
+
 fn default_stop_limit() -> Duration {
     Duration::from_secs(30)
 }
--- a/crates/proto/tests/peer_versions.rs
+++ b/crates/proto/tests/peer_versions.rs
@@ -4,9 +4,9 @@
 use {
     prost::Message,
     sassafrasslip_proto::peer::{
-        CrashRecord, DepartureRecord, LimitRecord, LoadReport, PartProofRecord,
-        PreviousUsageRecord, QuarantineRecord, RequestCrashRecord, RetryUsageRecord,
-        SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
+        ColdRecord, CrashRecord, DepartureRecord, LimitRecord, LoadReport, PaceRecord,
+        PartProofRecord, PreviousUsageRecord, QuarantineRecord, RequestCrashRecord,
+        RetryUsageRecord, SlowdownRecord, Snapshot, SnapshotRequest, TargetRecord,
     },
 };
 
@@ -104,6 +104,15 @@
         }],
         retry_usage: vec![usage()],
         has_retry_part: true,
+        cold_targets: vec![ColdRecord {
+            target: 1,
+            remaining_ms: 900,
+        }],
+        paces: vec![PaceRecord {
+            target: 1,
+            per_second: 4.5,
+            age_ms: 90,
+        }],
         previous_usage: vec![PreviousUsageRecord {
             gateway: 0x7f00_0002,
             age_ms: 80,
@@ -197,6 +206,7 @@
         ..snapshot()
     };
     snapshot.targets[0].unconfirmed = true;
+    snapshot.targets[0].cold_for_ms = Some(900);
     let read = EarlierSnapshot::decode(&*snapshot.encode_to_vec()).unwrap();
     assert_eq!(read, earlier_snapshot());
     let request = SnapshotRequest {
