--- a/crates/client/src/verbs/check.rs
+++ b/crates/client/src/verbs/check.rs
@@ -80,11 +80,11 @@
 async fn fetch_rules(store: SocketAddr) -> Result<TableRules> {
     let client = StoreClient::new(store, STORE_TIMEOUT);
     let read = client.read_configuration().await;
-    let (document, _) = read.map_err(|report| ClientError::StoreUnreachable {
+    let rows = read.map_err(|report| ClientError::StoreUnreachable {
         store,
         fault: report.current_context().to_string(),
     })?;
-    let rules = decode_rules(&document.document);
+    let rules = decode_rules(&rows.document.document);
     rules.map_err(|report| {
         ClientError::Rejected(format!("configuration in force: {}", cause(&report)))
     })
--- a/crates/core/src/dispatch/route_table.rs
+++ b/crates/core/src/dispatch/route_table.rs
@@ -1,7 +1,10 @@
 //! Routes, services and teams of one configuration revision, as the operator has configured them.
 
 use {
-    super::home_regions::{HomeZones, ZoneRegions},
+    super::{
+        home_regions::{HomeZones, ZoneRegions},
+        target_pace::ColdRule,
+    },
     crate::ids::{RegionName, ServiceName, TeamName},
     std::{
         collections::{HashMap, HashSet},
@@ -121,6 +124,8 @@
     pub channel_limit: u32,
     /// Performance figures of the model engine; `None` for a plain service.
     pub engine: Option<EngineProfile>,
+    /// Load that a cold target tolerates; `None` if the configuration names none.
+    pub cold: Option<ColdRule>,
 }
 
 /// Team of callers that share keys.
--- a/crates/core/src/dispatch/table_review.rs
+++ b/crates/core/src/dispatch/table_review.rs
@@ -458,16 +458,14 @@
     vec![
         ("connections", service.channel_limit.to_string()),
         ("engine", format!("{:?}", service.engine)),
+        ("cold", format!("{:?}", service.cold)),
     ]
 }
 
 fn team_fields(team: &TeamRule) -> FieldValues {
     let priority = team.priority;
     let priority = priority.map_or_else(|| "of the route".to_owned(), |value| value.to_string());
-    vec![
-        ("priority", priority),
-        ("homes", region_names(&team.homes)),
-    ]
+    vec![("priority", priority), ("homes", region_names(&team.homes))]
 }
 
 fn region_names(regions: &[RegionName]) -> String {
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -78,6 +78,9 @@
     2040 ZoneEmptied Warn "operator has emptied an availability zone; its targets get no new requests";
     2041 ZoneTakenBack Info "availability zone is no longer emptied";
     2042 ZoneUnreadable Warn "row of an emptied zone has an invalid name";
+    2045 TargetCold Info "target is cold and gets requests at a bounded rate";
+    2046 PaceBegun Info "pace of a target is found from its answers";
+    2047 TargetCarries Info "target carries its share";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
