Bound the memory that a gateway holds for its callers

Cause: the whole body of every request stayed in memory from its first byte, each piece with the read buffer that it came in, and every answer until its caller had read it, without a bound over all of them. Bodies without progress kept their memory and their connection without end.

Change: dispatch::CallerMemory decides without sockets who is granted bytes and who gives way; gateway::caller_memory acts on it. Bodies are copied into one buffer that follows what has arrived; large answers are sent in pieces and close their connection when they have to give way. A quarter of the bodies' memory is for bodies of up to 64 KiB. A body that is refused for memory gets 503 before any attempt, one that stands still for 15 s 408. A length announced over 16 MiB is refused from the head. The limit on connections follows the memory; their buffers shrink from 64 to 48 KiB.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! These modules perform no input or output: instance lists, answers and the current time are
 //! arguments, decisions are return values, and orders to engines go through [`RankControl`].
 
+pub mod caller_memory;
 pub mod channel_plan;
 pub mod demand_window;
 pub mod dispatch_queue;
@@ -34,6 +35,7 @@
 pub mod target_roster;
 
 pub use {
+    caller_memory::{CallerMemory, HoldKey, MemoryGrowth, MemoryPlan},
     channel_plan::{ChannelPlan, plan_channel},
     dispatch_queue::{DispatchQueue, WaitKey, WaitRefusal, WaitingRequest},
     event_stream::EventSplitter,
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -75,6 +75,9 @@
     2027 CallerLeft Info "caller disconnected before the end of the answer";
     2028 RequestUnanswered Info "connection of a caller ended before the head of the answer";
     2029 TargetSilent Info "target is silent; its request stays with it until another target answers";
+    2050 BodyRefused Info "body of a caller refused because the memory for bodies is used up";
+    2051 CallerDisplaced Warn "body or answer of a caller gives way to others";
+    2052 BodyStalled Info "body of a caller makes no progress and is refused";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod answer_budget;
+pub mod caller_memory;
 pub mod caller_slots;
 pub mod callers;
 pub mod channels;
--- a/crates/daemon/src/gateway/caller_slots.rs
+++ b/crates/daemon/src/gateway/caller_slots.rs
@@ -4,8 +4,7 @@
 //! new caller leaves after a second in which its request is not read, and retries once.
 
 use {
-    super::metrics::GatewayMetrics,
-    crate::constants::MAX_CALLER_CONNECTIONS,
+    super::{caller_memory::HeldMemory, metrics::GatewayMetrics},
     hyper::body::{Body, Frame, SizeHint},
     sassafrasslip_core::{events::LogEvent::CallerLimitReached, log_event},
     slotmap::{SlotMap, new_key_type},
@@ -45,23 +44,28 @@
     closing: CancellationToken,
 }
 
-/// Open connections of callers, up to [`MAX_CALLER_CONNECTIONS`].
+/// Open connections of callers, up to a limit.
 #[derive(Debug)]
 pub struct CallerSlots {
     connections: RefCell<SlotMap<ConnectionKey, OpenConnection>>,
     permits: Arc<Semaphore>,
     /// Whether the latest connection had to wait.
     is_full: Cell<bool>,
+    limit: usize,
+    /// Bodies of requests, the stalled ones of which give way if no connection is idle.
+    bodies: Rc<HeldMemory>,
     metrics: GatewayMetrics,
 }
 
 impl CallerSlots {
-    /// Creates the slots without a connection.
-    pub fn new(metrics: GatewayMetrics) -> Rc<Self> {
+    /// Creates `limit` slots without a connection.
+    pub fn new(limit: usize, bodies: Rc<HeldMemory>, metrics: GatewayMetrics) -> Rc<Self> {
         Rc::new(Self {
             connections: RefCell::default(),
-            permits: Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS)),
+            permits: Arc::new(Semaphore::new(limit)),
             is_full: Cell::new(false),
+            limit,
+            bodies,
             metrics,
         })
     }
@@ -75,11 +79,7 @@
                 break permit;
             }
             if !self.is_full.replace(true) {
-                log_event!(
-                    CallerLimitReached,
-                    limit = MAX_CALLER_CONNECTIONS,
-                    idle = self.idle()
-                );
+                log_event!(CallerLimitReached, limit = self.limit, idle = self.idle());
             }
             self.close_idlest(Instant::now());
             let permit = Arc::clone(&self.permits).acquire_owned();
@@ -117,6 +117,8 @@
         if let Some(idlest) = idle.min_by_key(|connection| connection.idle_since) {
             idlest.closing.cancel();
             self.metrics.closed_idle.inc();
+        } else {
+            self.bodies.displace_stalled();
         }
     }
 }
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -13,7 +13,9 @@
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     sassafrasslip_core::{
-        dispatch::{StopPlan, stop_plan::DEREGISTRATION_DELAY},
+        dispatch::{
+            MemoryPlan, StopPlan, caller_memory::CONNECTION_BYTES, stop_plan::DEREGISTRATION_DELAY,
+        },
         events::LogEvent::{ConnectionsCut, RequestUnanswered},
         log_event,
     },
@@ -39,14 +41,12 @@
 /// connections. The first request of a newly opened connection may still be in transit.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
 
-/// Smallest buffer for the request head of a connection, in bytes. All connections together then take
-/// half of the 256 MB of a gateway; the server's default of some 400 KB would exceed them.
-const MIN_HEAD_BUFFER: usize = 64 * 1024;
-
 /// Accepts connections until the deregistration delay after the stop signal has passed, then waits
 /// for the requests in flight, at most until shortly before the supervisor kills the process.
 pub async fn serve(state: Rc<GatewayState>, listener: TcpListener, draining: CancellationToken) {
-    let slots = CallerSlots::new(state.metrics.clone());
+    let limit = MemoryPlan::for_limit(state.options.memory_limit).connections;
+    let bodies = Rc::clone(&state.held_bodies);
+    let slots = CallerSlots::new(limit, bodies, state.metrics.clone());
     let closing = CancellationToken::new();
     let tasks = TaskTracker::new();
     let mut accepted = None;
@@ -103,9 +103,15 @@
 
 async fn serve_connection(state: Rc<GatewayState>, stream: TcpStream, slot: CallerSlot) {
     let _ = stream.set_nodelay(true);
+    let Ok(peer) = stream.peer_addr() else {
+        return;
+    };
+    // Cancelled when the answer that the caller does not read gives way to others.
+    let cut = CancellationToken::new();
+    let answer_cut = cut.clone();
     let head_timeout = state.head_timeout.clone();
     let head_limit = state.table().map(|table| table.limits.header_bytes);
-    let head_buffer = head_limit.unwrap_or_default().max(MIN_HEAD_BUFFER);
+    let head_buffer = head_limit.unwrap_or_default().max(CONNECTION_BYTES);
     let stream = StallGuard::new(stream, CALLER_WRITE_TIMEOUT);
     let has_request = Rc::new(Cell::new(false));
     let seen = Rc::clone(&has_request);
@@ -120,8 +126,12 @@
         let open = Rc::clone(&open);
         let connection_usage = connection_usage.clone();
         let usage = connection_usage.begin_request();
+        let cut = answer_cut.clone();
         async move {
-            let mut response = request::serve(Rc::clone(&state), request).await;
+            let mut response = request::serve(Rc::clone(&state), request, peer.ip()).await;
+            let held_answers = &state.held_answers;
+            let begin_share = || held_answers.share(peer.ip(), cut);
+            response.body_mut().hold(begin_share);
             // Announcing the close in the response keeps the caller from sending another request
             // that would cross the close of the connection.
             if state.leaving.get() || connection_usage.is_full() {
@@ -138,19 +148,24 @@
         .max_buf_size(head_buffer)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    tokio::select! {
-        ended = connection.as_mut() => return open_request.finish(ended),
-        () = slot.closing.cancelled() => {}
-    }
-    if !has_request.get() {
-        let first_request = timeout(FIRST_REQUEST_GRACE, connection.as_mut());
-        if let Ok(ended) = first_request.await {
-            return open_request.finish(ended);
+    let serving = async {
+        tokio::select! {
+            ended = connection.as_mut() => return ended,
+            () = slot.closing.cancelled() => {}
         }
+        if !has_request.get() {
+            let first_request = timeout(FIRST_REQUEST_GRACE, connection.as_mut());
+            if let Ok(ended) = first_request.await {
+                return ended;
+            }
+        }
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    };
+    tokio::select! {
+        ended = serving => open_request.finish(ended),
+        () = cut.cancelled() => {}
     }
-    connection.as_mut().graceful_shutdown();
-    let ended = connection.await;
-    open_request.finish(ended);
 }
 
 /// Request of a connection that has no answer yet. If the connection ends meanwhile, that is counted
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
         admission::TargetLease,
         answer_budget::{AnswerBudget, LimitExceeded},
         channels::{ChannelError, TargetChannel, describe_exchange},
+        request_body::RequestBody,
         state::GatewayState,
     },
     bytes::{Bytes, BytesMut},
@@ -104,7 +105,7 @@
     /// Method, path and headers of the caller's request.
     pub parts: request::Parts,
     /// Complete body of the caller's request.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Request id that the caller chose, empty if none. A response with another id is not accepted.
     pub id: String,
     /// Team that owns the caller's API key.
@@ -259,7 +260,7 @@
     let CallerRequest {
         id, body, repeat, ..
     } = input.request;
-    let plan = plan_channel(*repeat, body.len(), !id.is_empty());
+    let plan = plan_channel(*repeat, body.bytes.len(), !id.is_empty());
     let pooled = match plan {
         ChannelPlan::Kept { longest_idle } => state.channels.take(lease.key, longest_idle),
         ChannelPlan::SingleUse => None,
@@ -353,7 +354,7 @@
     let request = Request::builder()
         .method(parts.method.clone())
         .uri(path.map_or("/", |path| path.as_str()))
-        .body(Full::from(body.clone()));
+        .body(Full::from(body.bytes.clone()));
     let mut request = request.map_err(|error| AttemptError::unsent(error.to_string()))?;
     *request.headers_mut() = encode_attempt(parts, &head);
     Ok(request)
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -23,6 +23,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the metrics of memory that is held for callers.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct HoldLabels {
+    /// `body`: bodies of requests. `answer`: large answers that callers have not read yet.
+    pub kind: &'static str,
+}
+
 /// Metrics of a gateway. Clones share their values.
 #[derive(Clone, Debug)]
 pub struct GatewayMetrics {
@@ -44,6 +51,12 @@
     pub connections: Gauge,
     /// Idle connections of callers that were closed because new ones waited.
     pub closed_idle: Counter,
+    /// Bytes that are held for callers.
+    pub held_bytes: Family<HoldLabels, Gauge>,
+    /// Bodies that were refused because their memory was used up.
+    pub memory_refusals: Family<HoldLabels, Counter>,
+    /// Bodies and answers that gave way to others.
+    pub displaced: Family<HoldLabels, Counter>,
     /// Streams that were resumed at another target.
     pub moved_streams: Counter,
     /// Ejections of targets after failures.
@@ -84,6 +97,9 @@
             silences: Counter::default(),
             connections: Gauge::default(),
             closed_idle: Counter::default(),
+            held_bytes: Family::default(),
+            memory_refusals: Family::default(),
+            displaced: Family::default(),
             moved_streams: Counter::default(),
             ejections: Counter::default(),
             channels: Counter::default(),
@@ -137,6 +153,18 @@
                 "Idle connections of callers that were closed to make room",
                 closed,
             );
+            let held = metrics.held_bytes.clone();
+            registry.register("gateway_held_bytes", "Bytes held for callers", held);
+            registry.register(
+                "gateway_memory_refusals",
+                "Bodies refused because their memory was used up",
+                metrics.memory_refusals.clone(),
+            );
+            registry.register(
+                "gateway_displaced_holds",
+                "Bodies and answers that gave way to others",
+                metrics.displaced.clone(),
+            );
             registry.register(
                 "gateway_moved_streams",
                 "Streams that were resumed at another target",
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -8,10 +8,9 @@
         exchange::{self, AttemptError, AttemptInput, CallerRequest, OpenAnswer},
         relay::StartedStream,
         reply::{LocalReply, ReplyBody},
-        request_body,
+        request_body::{self, BodyError, RequestBody},
         state::GatewayState,
     },
-    bytes::Bytes,
     http::{StatusCode, request},
     hyper::{Request, Response, body::Incoming},
     sassafrasslip_core::{
@@ -22,13 +21,13 @@
             prompt_part::list_parts,
         },
         events::LogEvent::{
-            AttemptFailed, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
+            AttemptFailed, BodyStalled, CallerLeft, GatewayAnswered, GatewayRefused, GatewayUnknown,
         },
         ids::ServiceName,
         log_event,
     },
     sassafrasslip_platform::{CallerHead, decode_caller},
-    std::{mem, ops::ControlFlow, rc::Rc, time::Duration},
+    std::{mem, net::IpAddr, ops::ControlFlow, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -56,11 +55,15 @@
 
 /// Reads, routes and answers a request. If the caller disconnects, this future is dropped, which
 /// also removes the request from its queue, frees its slot and closes its connection to the target.
-pub async fn serve(state: Rc<GatewayState>, request: Request<Incoming>) -> Response<ReplyBody> {
+pub async fn serve(
+    state: Rc<GatewayState>,
+    request: Request<Incoming>,
+    address: IpAddr,
+) -> Response<ReplyBody> {
     let arrived_at = Instant::now();
     let (parts, incoming) = request.into_parts();
     let caller = decode_caller(&parts);
-    match read_and_route(&state, &caller, &parts, incoming).await {
+    match read_and_route(&state, &caller, &parts, incoming, address).await {
         Ok((table, matched, service, body)) => {
             let handler = RequestHandler::new(
                 state,
@@ -80,13 +83,14 @@
     }
 }
 
-type RoutedRequest = (Rc<RouteTable>, RouteMatch, ServiceName, Bytes);
+type RoutedRequest = (Rc<RouteTable>, RouteMatch, ServiceName, RequestBody);
 
 async fn read_and_route(
     state: &GatewayState,
     caller: &CallerHead,
     parts: &request::Parts,
     incoming: Incoming,
+    address: IpAddr,
 ) -> Result<RoutedRequest, LocalReply> {
     let limit = || {
         let table = state.table();
@@ -94,9 +98,12 @@
             table.limits.body_bytes
         })
     };
+    let begin_share = |displaced| state.held_bodies.share(address, displaced);
     let body = tokio::select! {
         biased;
-        body = request_body::read(incoming, limit) => body?,
+        body = request_body::read(incoming, limit, begin_share) => {
+            body.inspect_err(|error| log_body_error(*error, address))?
+        }
         () = state.ending.cancelled() => {
             return Err(LocalReply::not_run(STOP_REASON, STOP_RETRY_DELAY));
         }
@@ -115,6 +122,13 @@
     Ok((table, matched, service, body))
 }
 
+fn log_body_error(error: BodyError, address: IpAddr) {
+    if error == BodyError::Stalled {
+        let limit_ms = request_body::STALL_LIMIT.as_millis();
+        log_event!(BodyStalled, caller = address, limit_ms = limit_ms);
+    }
+}
+
 /// Returns what identifies a request when its caller sends it again under another id.
 fn request_traits(parts: &request::Parts, caller: &CallerHead, body: &[u8]) -> RequestTraits {
     let method = parts.method.as_str();
@@ -219,7 +233,7 @@
         state: Rc<GatewayState>,
         parts: request::Parts,
         caller: CallerHead,
-        body: Bytes,
+        body: RequestBody,
         (table, matched, service): (Rc<RouteTable>, RouteMatch, ServiceName),
         arrived_at: Instant,
     ) -> Self {
@@ -229,7 +243,7 @@
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         state.record_first_try(&service, arrived_at);
         let deadline = arrived_at + caller_timeout.saturating_sub(ANSWER_MARGIN);
-        let traits = request_traits(&parts, &caller, &body);
+        let traits = request_traits(&parts, &caller, &body.bytes);
         let request = CallerRequest {
             parts,
             body,
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -17,7 +17,6 @@
     bytes::Bytes,
     futures_util::future::{FutureExt, LocalBoxFuture},
     http::{header::CONTENT_LENGTH, response},
-    http_body_util::Full,
     hyper::Response,
     sassafrasslip_core::{
         dispatch::{EventSplitter, TargetKey, may_run_beside},
@@ -335,7 +334,7 @@
 }
 
 fn forwarded_response(parts: &response::Parts, body: Bytes) -> Response<ReplyBody> {
-    let mut response = Response::new(ReplyBody::Whole(Full::from(body)));
+    let mut response = Response::new(ReplyBody::Whole(body.into()));
     *response.headers_mut() = forwarded_headers(&parts.headers);
     response.headers_mut().remove(CONTENT_LENGTH);
     *response.status_mut() = parts.status;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -6,8 +6,8 @@
     super::{
         admission::ServiceQueue,
         answer_budget::AnswerBudget,
+        caller_memory::HeldMemory,
         channels::{ChannelPool, TargetChannel},
-        exchange::MAX_COLLECTED_BYTES,
         group_bounds::GroupBounds,
         head_timer::HeadTimeout,
         metrics::GatewayMetrics,
@@ -19,9 +19,9 @@
     sassafrasslip_core::{
         dispatch::{
             DatedSlowdown, DatedView, DurationEstimate, EraChange, FleetShare, GroupLoad, KnownEra,
-            LimitNews, PeerInquiry, PeerTable, RequestQuarantine, RequestRate, RetryBudgets,
-            RetryHandover, RetryRule, RosterChange, RouteRule, RouteTable, Slowdown, StopPlan,
-            StoreEra, StoreStamp, TargetDeparture, TargetKey, TargetList, TargetRoster,
+            LimitNews, MemoryPlan, PeerInquiry, PeerTable, RequestQuarantine, RequestRate,
+            RetryBudgets, RetryHandover, RetryRule, RosterChange, RouteRule, RouteTable, Slowdown,
+            StopPlan, StoreEra, StoreStamp, TargetDeparture, TargetKey, TargetList, TargetRoster,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, PeerTableRejected, StoreAnswerOutdated, StoreEraAbandoned,
@@ -88,6 +88,10 @@
     pub channels: ChannelPool,
     /// Limit on the response bodies that are being buffered.
     pub answer_budget: AnswerBudget,
+    /// Memory of the bodies of requests.
+    pub held_bodies: Rc<HeldMemory>,
+    /// Memory of the large answers that callers have not read yet.
+    pub held_answers: Rc<HeldMemory>,
     /// Queues of waiting requests by service.
     pub queues: RefCell<HashMap<ServiceName, ServiceQueue>>,
     /// Notified when a request joins a queue.
@@ -194,15 +198,18 @@
             ratio: options.retry_ratio,
             fixed: options.retry_allowance,
         };
+        let plan = MemoryPlan::for_limit(options.memory_limit);
         let started_at = Instant::now();
         let retry_budgets = RetryBudgets::new(retry_rule, options.first_start, started_at);
         Self {
             own_zone: instance.availability_zone.clone(),
-            options,
-            metrics,
             roster: RefCell::default(),
             channels: ChannelPool::default(),
-            answer_budget: AnswerBudget::new(MAX_COLLECTED_BYTES),
+            answer_budget: AnswerBudget::new(plan.collected),
+            held_bodies: HeldMemory::new("body", plan.bodies, metrics.clone()),
+            held_answers: HeldMemory::new("answer", plan.answers, metrics.clone()),
+            options,
+            metrics,
             queues: RefCell::default(),
             waiting: Notify::new(),
             known_era: Cell::default(),
--- a/crates/daemon/src/options/gateway.rs
+++ b/crates/daemon/src/options/gateway.rs
@@ -1,7 +1,7 @@
 //! Section `gateway` of the settings file.
 
 use {
-    super::units::{AddressText, AddressesText, AmountText, PositiveDurationText},
+    super::units::{AddressText, AddressesText, AmountText, MemoryText, PositiveDurationText},
     serde::Deserialize,
     serde_with::{DisplayFromStr, serde_as},
     std::{net::SocketAddr, time::Duration},
@@ -58,6 +58,14 @@
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_stop_limit")]
     pub stop_limit: Duration,
+    /// Memory that the process may use, in bytes.
+    #[serde_as(as = "MemoryText")]
+    #[serde(default = "default_memory_limit")]
+    pub memory_limit: usize,
+}
+
+fn default_memory_limit() -> usize {
+    256 << 20
 }
 
 fn default_retry_ratio() -> f64 {
--- a/crates/daemon/src/options/units.rs
+++ b/crates/daemon/src/options/units.rs
@@ -10,6 +10,12 @@
 /// instant cannot overflow.
 pub const MAX_DURATION: Duration = Duration::from_secs(10 * 365 * 24 * 3600);
 
+/// Least memory of a process, in MB. Below, its bodies of legal size would not fit.
+const MIN_MEMORY_MB: f64 = 32.0;
+
+/// Memory of a setting to which higher ones are reduced, in MB.
+const MAX_MEMORY_MB: f64 = 1024.0;
+
 /// Address written as `IP:PORT`.
 #[derive(Debug)]
 pub struct AddressText;
@@ -34,6 +40,10 @@
 #[derive(Debug)]
 pub struct PositiveDurationText;
 
+/// Memory written as `256 MB`, in units of 1,048,576 bytes; the unit is mandatory.
+#[derive(Debug)]
+pub struct MemoryText;
+
 /// Whole number of at least 0; `3.0` is accepted too.
 #[derive(Debug)]
 pub struct NumberText;
@@ -98,6 +108,16 @@
     }
 }
 
+impl<'de> DeserializeAs<'de, usize> for MemoryText {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<usize, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let amount = text.trim().strip_suffix("MB").and_then(parse_amount);
+        let amount = amount.filter(|amount| *amount >= MIN_MEMORY_MB);
+        let amount = amount.map(|amount| amount.min(MAX_MEMORY_MB) as usize * (1 << 20));
+        amount.ok_or_else(|| de::Error::custom("expected a number from 32 with MB"))
+    }
+}
+
 impl<'de> DeserializeAs<'de, u32> for NumberText {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> result::Result<u32, D::Error> {
         read_number(deserializer, 0)
