--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -81,6 +81,9 @@
     2045 TargetCold Info "target is cold and gets requests at a bounded rate";
     2046 PaceBegun Info "pace of a target is found from its answers";
     2047 TargetCarries Info "target carries its share";
+    2050 BodyRefused Info "body of a caller refused because the memory for bodies is used up";
+    2051 CallerDisplaced Warn "body or answer of a caller gives way to others";
+    2052 BodyStalled Info "body of a caller makes no progress and is refused";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
--- a/crates/core/tests/zone_evacuation.rs
+++ b/crates/core/tests/zone_evacuation.rs
@@ -156,6 +156,7 @@
         slots: 1,
         state: TargetState::Ready,
         started_at_ms: 1,
+        cold_for: None,
         group: None,
     };
     let mut roster = TargetRoster::default();
