Spread starts over the ranks of a group by the gateway's place and its own requests

Cause: 64 gateways drew among the ranks that were least loaded by reports up to a second old. All of them saw the same ranks, so that the fullest one read three to four prompts in a pass and ran far more requests than the others.

Change: ranks below the level that the unreported starts will fill take part; a gateway fills them evenly by its own requests, in an order that begins at a rank of its own, and not twice in a pass while another has room. Plain services are chosen as before.

core tests: map_quality two_hundred_and_fifty_six_ranks failed once beside load; no code of it is touched.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -18,6 +18,7 @@
 pub mod peer_inquiry;
 pub mod peer_table;
 pub mod prompt_part;
+pub mod prompt_spread;
 pub mod rank_status;
 pub mod request_limits;
 pub mod request_quarantine;
@@ -48,8 +49,9 @@
     pass_governor::{GroupLoad, PassGovernor, StartPacer},
     pass_model::PassModel,
     peer_inquiry::PeerInquiry,
-    peer_table::{PeerReport, PeerTable},
+    peer_table::{PeerReport, PeerTable, ZonePlace},
     prompt_part::PromptPart,
+    prompt_spread::{SpreadCandidate, StartSlice, spread_start},
     rank_status::{PassPace, RankStatus, armed_version, held_pass, pass_to_hold},
     request_limits::{FleetShare, LimitNews, RequestLimits, RequestRate, StartPace},
     request_quarantine::{
--- a/crates/core/src/dispatch/peer_table.rs
+++ b/crates/core/src/dispatch/peer_table.rs
@@ -93,6 +93,15 @@
     until: Instant,
 }
 
+/// Place of a gateway among those of its availability zone, in the order of their addresses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ZonePlace {
+    /// Number of gateways with lower addresses.
+    pub position: u32,
+    /// Number of gateways in the availability zone, this one included.
+    pub gateways: u32,
+}
+
 impl PeerTable {
     /// Adds addresses that may belong to peers. Reports are sent to them for a limited time.
     pub fn add_candidates(&mut self, addresses: impl IntoIterator<Item = Ipv4Addr>, now: Instant) {
@@ -224,6 +233,25 @@
         in_zone.map(|(address, _)| *address).min()
     }
 
+    /// Returns the place of the gateway with the address `own` among the live gateways of an
+    /// availability zone.
+    pub fn zone_place(&self, zone: &ZoneName, own: Ipv4Addr, now: Instant) -> ZonePlace {
+        let in_zone = self.peers.iter().filter(|(_, peer)| {
+            is_live(peer, now)
+                && !peer.report.leaving
+                && peer.report.availability_zone.as_ref() == Some(zone)
+        });
+        let mut place = ZonePlace {
+            position: 0,
+            gateways: 1,
+        };
+        for (address, _) in in_zone {
+            place.position += u32::from(*address < own);
+            place.gateways += 1;
+        }
+        place
+    }
+
     /// Returns the addresses of all peers, silent ones included, to be sent to other gateways.
     pub fn known(&self) -> impl ExactSizeIterator<Item = Ipv4Addr> {
         self.peers.keys().copied()
--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -13,6 +13,7 @@
 
 use {
     super::{
+        prompt_spread::{SpreadCandidate, StartSlice, spread_start},
         request_limits::{FleetShare, StartPace},
         target_entry::{DirectTarget, TargetKey},
         target_roster::TargetRoster,
@@ -53,6 +54,9 @@
     /// Random number, uniform from 0 to 1, that selects one of the targets with similar scores.
     /// Gateways, which do not know each other's latest choices, thus choose different targets.
     pub draw: f64,
+    /// Place of this gateway among those that start requests, which counts for ranks of groups;
+    /// `None` if it is unknown.
+    pub slice: Option<StartSlice>,
 }
 
 /// Result of the choice of a target.
@@ -108,6 +112,22 @@
         .filter(|(_, target)| !(has_certain && roster.is_doubtful(target)))
         .map(|(key, target)| (key, score(target, input)))
         .collect();
+    if let Some(slice) = input.slice {
+        let ranks = scored.iter().filter_map(|(key, score)| {
+            let target = roster.get(*key)?;
+            target.entry.group.as_ref()?;
+            Some(SpreadCandidate {
+                key: *key,
+                order: target.name_hash,
+                load: *score,
+                own_load: score - f64::from(target.peer_in_flight),
+                started_at: target.started_at,
+            })
+        });
+        if let Some(key) = spread_start(ranks.collect(), slice, input.draw, now) {
+            return TargetChoice::Chosen(key);
+        }
+    }
     let best = scored
         .iter()
         .map(|(_, score)| *score)
--- a/crates/core/src/dispatch/target_entry.rs
+++ b/crates/core/src/dispatch/target_entry.rs
@@ -136,6 +136,8 @@
     pub own_in_flight: u32,
     /// Number of requests of the peers in flight at the target.
     pub peer_in_flight: u32,
+    /// Time at which this gateway last started a request at the target.
+    pub started_at: Option<Instant>,
     /// Health of the target, from the outcomes of earlier requests.
     pub health: TargetHealth,
     /// What the target has said in its answers about new requests.
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -479,6 +479,7 @@
     pub fn record_start(&mut self, key: TargetKey, share: FleetShare, now: Instant) {
         if let Some(target) = self.targets.get_mut(key) {
             target.own_in_flight += 1;
+            target.started_at = Some(now);
             target.health.record_start();
             self.limits.record_start(target.name_hash, share, now);
         }
@@ -758,6 +759,7 @@
             entry,
             own_in_flight: 0,
             peer_in_flight: 0,
+            started_at: None,
             health,
             notice,
             group_runs: true,
--- a/crates/core/tests/direct_dispatch.rs
+++ b/crates/core/tests/direct_dispatch.rs
@@ -122,6 +122,7 @@
         tried: &[],
         group_limits: limits,
         draw: 0.5,
+        slice: None,
     };
     choose_target(roster, &input, now)
 }
--- a/crates/core/tests/silent_group.rs
+++ b/crates/core/tests/silent_group.rs
@@ -96,6 +96,7 @@
         tried: &[],
         group_limits: &HashMap::new(),
         draw: 0.5,
+        slice: None,
     };
     let since = match choose_target(roster, &input, now) {
         TargetChoice::Chosen(_) => return None,
--- a/crates/core/tests/slow_ranks.rs
+++ b/crates/core/tests/slow_ranks.rs
@@ -114,6 +114,7 @@
             tried: &[],
             group_limits: &HashMap::new(),
             draw: f64::from(start * 37 % 100) / 100.0,
+            slice: None,
         };
         let TargetChoice::Chosen(key) = choose_target(roster, &input, now) else {
             panic!("no target for request {start}");
@@ -230,6 +231,7 @@
         tried: &tried,
         group_limits: &HashMap::new(),
         draw: 0.0,
+        slice: None,
     };
     let choice = choose_target(&roster, &input, now);
     assert!(matches!(choice, TargetChoice::Chosen(_)), "{choice:?}");
--- a/crates/core/tests/store_history.rs
+++ b/crates/core/tests/store_history.rs
@@ -262,6 +262,7 @@
         tried: &[],
         group_limits: &HashMap::new(),
         draw,
+        slice: None,
     };
     choose_target(roster, &input, now)
 }
--- a/crates/core/tests/target_notices.rs
+++ b/crates/core/tests/target_notices.rs
@@ -34,6 +34,7 @@
         tried: &[],
         group_limits: &HashMap::new(),
         draw: 0.5,
+        slice: None,
     };
     choose_target(roster, &input, now)
 }
--- a/crates/core/tests/worst_load.rs
+++ b/crates/core/tests/worst_load.rs
@@ -513,6 +513,7 @@
                 tried: &[],
                 group_limits: &HashMap::new(),
                 draw: random.random(),
+                slice: None,
             };
             let TargetChoice::Chosen(key) = choose_target(&roster, &input, now) else {
                 panic!("no target was chosen");
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod request;
 pub mod request_body;
 pub mod retries;
+pub mod start_slice;
 pub mod state;
 pub mod supervisor;
 
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -6,7 +6,7 @@
 //! waiting in vain.
 
 use {
-    super::state::GatewayState,
+    super::{start_slice::start_slice, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
             ChoiceInput, DispatchQueue, OutageStep, TargetChoice, TargetKey, WaitKey, WaitRefusal,
@@ -162,14 +162,16 @@
     service: &ServiceName,
     tried: &[TargetKey],
 ) -> Option<TargetLease> {
+    let now = Instant::now();
     let input = ChoiceInput {
         service,
         own_zone: &state.own_zone,
         tried,
         group_limits: &HashMap::new(),
         draw: rand::random(),
+        slice: start_slice(state, now),
     };
-    let choice = choose_target(&state.roster.borrow(), &input, Instant::now());
+    let choice = choose_target(&state.roster.borrow(), &input, now);
     match choice {
         TargetChoice::Chosen(key) => Some(lease(state, service, key)),
         _ => None,
@@ -306,6 +308,7 @@
             tried: tried.unwrap_or_default(),
             group_limits: &group_limits,
             draw: rand::random(),
+            slice: start_slice(state, now),
         };
         let choice = choose_target(&state.roster.borrow(), &input, now);
         match choice {
--- a/crates/daemon/src/gateway/group_bounds.rs
+++ b/crates/daemon/src/gateway/group_bounds.rs
@@ -83,6 +83,12 @@
         self.groups.get(group)?.governor.mean_pause()
     }
 
+    /// Returns the longest mean pause of all groups, or `None` while none is known.
+    pub fn longest_pause(&self) -> Option<Duration> {
+        let groups = self.groups.values();
+        groups.filter_map(|bound| bound.governor.mean_pause()).max()
+    }
+
     /// Removes what is known about a group, which no longer holds once the group has broken or
     /// formed again.
     pub fn forget(&mut self, group: &GroupName) {
