--- a/crates/core/tests/zone_evacuation.rs
+++ b/crates/core/tests/zone_evacuation.rs
@@ -172,6 +172,7 @@
         tried: &[],
         group_limits: &HashMap::new(),
         draw: 0.0,
+        slice: None,
     };
     match choose_home_target(roster, &input, homes, now) {
         TargetChoice::Chosen(key) => Ok(roster.get(key).unwrap().entry.id.to_string()),
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -8,7 +8,7 @@
 mod home_requests;
 
 use {
-    super::state::GatewayState,
+    super::{start_slice::start_slice, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
             ChoiceInput, DispatchQueue, HomeZones, OutageStep, TargetChoice, TargetKey, WaitKey,
@@ -173,14 +173,16 @@
     tried: &[TargetKey],
     homes: &HomeZones,
 ) -> Option<TargetLease> {
+    let now = Instant::now();
     let input = ChoiceInput {
         service,
         own_zone: &state.own_zone,
         tried,
         group_limits: &HashMap::new(),
         draw: rand::random(),
+        slice: start_slice(state, now),
     };
-    let choice = choose_home_target(&state.roster.borrow(), &input, homes, Instant::now());
+    let choice = choose_home_target(&state.roster.borrow(), &input, homes, now);
     match choice {
         TargetChoice::Chosen(key) => Some(lease(state, service, key)),
         _ => None,
@@ -328,6 +330,7 @@
             tried: tried.unwrap_or_default(),
             group_limits: &group_limits,
             draw: rand::random(),
+            slice: start_slice(state, now),
         };
         let choice = choose_home_target(&state.roster.borrow(), &input, &homes, now);
         match choice {
--- a/crates/daemon/src/gateway/admission/home_requests.rs
+++ b/crates/daemon/src/gateway/admission/home_requests.rs
@@ -42,6 +42,7 @@
             tried: &waiter.tried,
             group_limits: &HashMap::new(),
             draw: 0.0,
+            slice: None,
         };
         let choice = choose_home_target(&state.roster.borrow(), &input, &waiter.homes, now);
         let cause = UnavailableCause::of(choice)?;
