--- a/crates/core/tests/prompt_spread.rs
+++ b/crates/core/tests/prompt_spread.rs
@@ -66,6 +66,7 @@
         slots: 10,
         state: TargetState::Ready,
         started_at_ms: 1,
+        cold_for: None,
         group: Some(GroupMember {
             name: "captions-0".parse().unwrap(),
             epoch: 1,
