Follow the store after a disproved era, and keep loads and causes of groups apart

Cause (review of the emptied zones, each shown by a test that failed): a set of an era that the store has disproved blocked all later changes; a hold-off outside the home was the cause told to requests that must stay there; a group's limit left out what still ran in the emptied zone.

Change: the era is dropped as soon as it is disproved; loads of groups count all ranks, causes only those that a request may use. The ranks of a group are not searched while no zone is emptied.

--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -103,10 +103,6 @@
     };
     let is_home = |target: &DirectTarget| homes.contains(&target.entry.availability_zone);
     let at_home = || ready().filter(|(_, target)| is_home(target));
-    let mut summary = ServiceSummary::default();
-    for (key, target) in ready() {
-        summary.add(key, target, now);
-    }
     if at_home().next().is_none() {
         let mut targets = roster.of_service(input.service);
         let waits = targets.any(|(_, target)| !target.is_leaving() && is_home(target));
@@ -116,8 +112,13 @@
             TargetChoice::Absent
         };
     }
-    if homes.is_bound() {
-        summary.keep_home(is_home, now, at_home());
+    let mut summary = ServiceSummary::default();
+    let running = roster.of_service(input.service);
+    for (_, target) in running.filter(|(_, target)| !target.is_leaving()) {
+        summary.add_load(target);
+    }
+    for (key, target) in at_home() {
+        summary.add(key, target, now);
     }
     if at_home().all(|(key, _)| input.tried.contains(&key)) {
         return TargetChoice::Exhausted;
@@ -203,6 +204,16 @@
 }
 
 impl<'a> ServiceSummary<'a> {
+    /// Adds the load of a target to its group. The limit of a group counts all ranks, also those
+    /// that this request may not use.
+    fn add_load(&mut self, target: &'a DirectTarget) {
+        if let Some(member) = &target.entry.group {
+            let load = self.group_loads.entry(&member.name).or_default();
+            *load = load.saturating_add(target.in_flight());
+        }
+    }
+
+    /// Adds a target that the request may use.
     fn add(&mut self, key: TargetKey, target: &'a DirectTarget, now: Instant) {
         let is_usable = is_usable(target, now);
         self.usable += usize::from(is_usable);
@@ -212,27 +223,12 @@
         }
         if let Some(member) = &target.entry.group {
             self.broken += usize::from(!target.group_runs);
-            let load = self.group_loads.entry(&member.name).or_default();
-            *load = load.saturating_add(target.in_flight());
             if is_usable {
                 self.usable_ranks.push((key, &member.name, target));
             }
         }
     }
 
-    /// Leaves out the targets outside the home zones, except from the loads of groups, whose limits
-    /// count all ranks.
-    fn keep_home(
-        &mut self,
-        is_home: impl Fn(&DirectTarget) -> bool,
-        now: Instant,
-        at_home: impl Iterator<Item = (TargetKey, &'a DirectTarget)>,
-    ) {
-        let targets = at_home.map(|(_, target)| target);
-        self.usable = targets.filter(|target| is_usable(target, now)).count();
-        self.usable_ranks.retain(|(_, _, target)| is_home(target));
-    }
-
     /// Returns the usable targets that are slow, unless no other target is usable.
     fn slow_targets(&self, roster: &TargetRoster, now: Instant) -> HashSet<TargetKey> {
         let paces = self.group_loads.keys();
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -288,7 +288,12 @@
 
     /// Returns how many ranks of a group are in emptied zones.
     pub fn emptied_ranks(&self, name: &GroupName) -> u32 {
-        let emptied = self.ranks_of(name).filter(|target| target.is_emptied);
+        // Called for each event of a stream, and usually no zone is emptied.
+        if self.emptied_zones.is_empty() {
+            return 0;
+        }
+        let ranks = self.ranks_of(name).filter(|target| !target.is_superseded);
+        let emptied = ranks.filter(|target| target.is_emptied);
         u32::try_from(emptied.count()).unwrap_or(u32::MAX)
     }
 
--- a/crates/core/tests/zone_evacuation.rs
+++ b/crates/core/tests/zone_evacuation.rs
@@ -4,7 +4,7 @@
 use {
     sassafrasslip_core::{
         dispatch::{
-            ChoiceInput, EmptiedZones, HomeZones, MissedChanges, StoreEra, StoreStamp,
+            ChoiceInput, EmptiedZones, GroupMember, HomeZones, MissedChanges, StoreEra, StoreStamp,
             TargetChoice, TargetEntry, TargetRoster, TargetState, ZoneChange, ZoneEvacuation,
             ZoneRegions, choose_home_target, choose_target,
         },
@@ -147,8 +147,8 @@
     "orders".parse().unwrap()
 }
 
-fn roster(zones: &[&str], now: Instant) -> TargetRoster {
-    let entry = |zone_name: &str| TargetEntry {
+fn entry(zone_name: &str) -> TargetEntry {
+    TargetEntry {
         id: zone_name.into(),
         service: service(),
         address: "10.0.0.1:80".parse().unwrap(),
@@ -158,7 +158,10 @@
         started_at_ms: 1,
         cold_for: None,
         group: None,
-    };
+    }
+}
+
+fn roster(zones: &[&str], now: Instant) -> TargetRoster {
     let mut roster = TargetRoster::default();
     roster.apply(zones.iter().map(|name| entry(name)).collect(), now);
     roster
@@ -253,3 +256,67 @@
     let nowhere = regions.home_zones(&[&["west".parse().unwrap()]]);
     assert_eq!(choose(&roster, &nowhere, now), Err(TargetChoice::Absent));
 }
+
+/// A peer may name an era that the store has never had. Once the store has disproved it, changes of the
+/// store's own era must count again.
+#[test]
+fn changes_of_the_store_count_after_a_disproved_era() {
+    let now = Instant::now();
+    let mut evacuation = ZoneEvacuation::default();
+    evacuation.apply(set((1, 3), &[]), now);
+    evacuation.apply(set((5, 2), &[]), now);
+    evacuation.forget_after(stamp((1, 3)).era);
+    let changes = vec![change("b", true)];
+    let followed = evacuation.follow(changes, stamp((1, 3)), stamp((1, 4)), now);
+    assert!(followed.is_err(), "all rows are read again");
+    evacuation.apply(set((1, 4), &["b"]), now);
+    assert_eq!(evacuation.latest(), Some(&set((1, 4), &["b"])));
+}
+
+/// A request that must stay in its home is not told to return when a target elsewhere takes requests.
+#[test]
+fn hold_off_elsewhere_says_nothing_of_the_home() {
+    let now = Instant::now();
+    let regions: ZoneRegions = [(zone("b"), "east".parse().unwrap())].into_iter().collect();
+    let homes = regions.home_zones(&[&["east".parse().unwrap()]]);
+    let mut roster = roster(&["a", "b"], now);
+    let key = roster.find("b").unwrap();
+    roster.get_mut(key).unwrap().is_superseded = true;
+    let key = roster.find("a").unwrap();
+    let held_off_until = now + Duration::from_secs(5);
+    roster.get_mut(key).unwrap().notice.held_off_until = Some(held_off_until);
+    assert_eq!(choose(&roster, &homes, now), Err(TargetChoice::Unusable));
+}
+
+/// All ranks of a group run each pass together, so that what still runs in an emptied zone takes part
+/// of the limit of the group.
+#[test]
+fn group_limit_counts_what_runs_in_the_emptied_zone() {
+    let now = Instant::now();
+    let mut roster = TargetRoster::default();
+    let ranks = [("a", 0), ("b", 1)].map(|(name, rank)| TargetEntry {
+        slots: 4,
+        group: Some(GroupMember {
+            name: "captions".parse().unwrap(),
+            epoch: 1,
+            rank,
+            size: 2,
+            is_open: true,
+        }),
+        ..entry(name)
+    });
+    roster.apply(ranks.into(), now);
+    let key = roster.find("a").unwrap();
+    roster.get_mut(key).unwrap().own_in_flight = 3;
+    let limits: HashMap<_, _> = [("captions".parse().unwrap(), 3)].into();
+    let input = ChoiceInput {
+        service: &service(),
+        own_zone: &zone("b"),
+        tried: &[],
+        group_limits: &limits,
+        draw: 0.0,
+        slice: None,
+    };
+    roster.set_emptied_zones([zone("a")].into());
+    assert_eq!(choose_target(&roster, &input, now), TargetChoice::Full);
+}
--- a/crates/daemon/src/gateway/emptied_zones.rs
+++ b/crates/daemon/src/gateway/emptied_zones.rs
@@ -37,7 +37,6 @@
         let zones = emptied.map(|change| change.zone).collect();
         let now = Instant::now();
         let mut evacuation = self.evacuation.borrow_mut();
-        evacuation.forget_after(self.known_era.get().era());
         let changes = evacuation.apply(EmptiedZones { zones, stamp }, now);
         drop(evacuation);
         self.note_zone_changes(&changes, "store", now);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -296,6 +296,7 @@
                 for named in [&self.list_era, &self.configuration_era, &self.document_era] {
                     named.set(named.get().min(era));
                 }
+                self.evacuation.borrow_mut().forget_after(era);
                 if was_observed {
                     // Targets may not have written their entries to a new store yet.
                     self.roster.borrow_mut().note_list_regained(now);
