Keep a part of an entry's body memory for small requests

The new test failed so on the code before: a request of 10,000 bytes got 503 beside 80 bodies of 1,000,000 bytes and 80 of 10,000 bytes that lack their last byte.

Change: a quarter of that memory is for bodies of up to 64 KiB, by their announced or actual length. The gateway takes the address of a caller from the accepted connection instead of asking for it again, and memory_limit has tests of its values.

--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -22,6 +22,9 @@
 /// Memory for the bodies of all requests in flight, in bytes. It is a quarter of the 256 MB that an
 /// entry may use.
 pub const REQUEST_BODY_MEMORY: usize = 64 * 1024 * 1024;
+/// Part of [`REQUEST_BODY_MEMORY`] that only small bodies may use, in bytes, so that large ones that
+/// callers hold open keep no others out.
+pub const SMALL_BODY_MEMORY: usize = REQUEST_BODY_MEMORY / 4;
 /// Maximum number of bytes of a refused body that are read and discarded, so that the caller
 /// receives the refusal instead of a connection reset.
 pub const MAX_DISCARDED_BYTES: usize = 4 * MAX_BODY_BYTES;
--- a/crates/daemon/src/entry/callers/body.rs
+++ b/crates/daemon/src/entry/callers/body.rs
@@ -2,11 +2,12 @@
 
 use {
     super::answer::Refusal,
-    crate::constants::{DISCARD_TIMEOUT, MAX_BODY_BYTES, MAX_DISCARDED_BYTES},
+    crate::constants::{DISCARD_TIMEOUT, MAX_BODY_BYTES, MAX_DISCARDED_BYTES, SMALL_BODY_MEMORY},
     bytes::{Bytes, BytesMut},
     http::StatusCode,
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
+    sassafrasslip_core::dispatch::caller_memory::SMALL_BODY_BYTES,
     std::{result, sync::Arc},
     tokio::{
         sync::{OwnedSemaphorePermit, Semaphore},
@@ -88,6 +89,7 @@
 }
 
 async fn read_frames(incoming: &mut Incoming, memory: &Arc<Semaphore>) -> Result<RequestBody> {
+    let announced = usize::try_from(incoming.size_hint().lower()).unwrap_or(usize::MAX);
     let mut bytes = BytesMut::new();
     let mut permits: Option<OwnedSemaphorePermit> = None;
     while let Some(frame) = incoming.frame().await {
@@ -103,7 +105,8 @@
         }
         // Memory is reserved only for bytes that have arrived, so that slow callers cannot hold
         // memory for bytes that they have not sent.
-        let permit = reserve(memory, data.len())?;
+        let is_small = announced.max(bytes.len() + data.len()) <= SMALL_BODY_BYTES;
+        let permit = reserve(memory, data.len(), is_small)?;
         match &mut permits {
             Some(permits) => permits.merge(permit),
             None => permits = Some(permit),
@@ -116,13 +119,19 @@
     })
 }
 
-fn reserve(memory: &Arc<Semaphore>, length: usize) -> Result<OwnedSemaphorePermit> {
-    let length = u32::try_from(length).unwrap_or(u32::MAX);
-    let permit = Arc::clone(memory).try_acquire_many_owned(length);
-    permit.map_err(|_| {
+/// Reserves memory for further `length` bytes of a body, which only a small one takes from
+/// [`SMALL_BODY_MEMORY`].
+fn reserve(memory: &Arc<Semaphore>, length: usize, is_small: bool) -> Result<OwnedSemaphorePermit> {
+    let busy = || {
         let message = "the entry has no memory left for request bodies";
         Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "entry_busy", message)
-    })
+    };
+    if !is_small && memory.available_permits() < length + SMALL_BODY_MEMORY {
+        return Err(busy());
+    }
+    let length = u32::try_from(length).unwrap_or(u32::MAX);
+    let permit = Arc::clone(memory).try_acquire_many_owned(length);
+    permit.map_err(|_| busy())
 }
 
 fn oversized() -> Refusal {
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -23,6 +23,7 @@
     std::{
         cell::{Cell, RefCell},
         convert::Infallible,
+        net::{IpAddr, SocketAddr},
         pin::pin,
         rc::Rc,
         time::Duration,
@@ -84,28 +85,30 @@
 async fn accept(
     state: &Rc<GatewayState>,
     listener: &TcpListener,
-    accepted: &mut Option<TcpStream>,
+    accepted: &mut Option<(TcpStream, SocketAddr)>,
     slots: &Rc<CallerSlots>,
     closing: &CancellationToken,
     tasks: &TaskTracker,
 ) {
     loop {
         if accepted.is_none() {
-            let (stream, _) = listen::accept(listener, "caller_address").await;
-            *accepted = Some(stream);
+            *accepted = Some(listen::accept(listener, "caller_address").await);
         }
         let slot = slots.acquire(closing).await;
-        if let Some(stream) = accepted.take() {
-            tasks.spawn_local(serve_connection(Rc::clone(state), stream, slot));
+        if let Some((stream, peer)) = accepted.take() {
+            let state = Rc::clone(state);
+            tasks.spawn_local(serve_connection(state, stream, peer.ip(), slot));
         }
     }
 }
 
-async fn serve_connection(state: Rc<GatewayState>, stream: TcpStream, slot: CallerSlot) {
+async fn serve_connection(
+    state: Rc<GatewayState>,
+    stream: TcpStream,
+    address: IpAddr,
+    slot: CallerSlot,
+) {
     let _ = stream.set_nodelay(true);
-    let Ok(peer) = stream.peer_addr() else {
-        return;
-    };
     // Cancelled when the answer that the caller does not read gives way to others.
     let cut = CancellationToken::new();
     let answer_cut = cut.clone();
@@ -128,9 +131,9 @@
         let usage = connection_usage.begin_request();
         let cut = answer_cut.clone();
         async move {
-            let mut response = request::serve(Rc::clone(&state), request, peer.ip()).await;
+            let mut response = request::serve(Rc::clone(&state), request, address).await;
             let held_answers = &state.held_answers;
-            let begin_share = || held_answers.share(peer.ip(), cut);
+            let begin_share = || held_answers.share(address, cut);
             response.body_mut().hold(begin_share);
             // Announcing the close in the response keeps the caller from sending another request
             // that would cross the close of the connection.
--- a/crates/daemon/src/gateway/request_body.rs
+++ b/crates/daemon/src/gateway/request_body.rs
@@ -34,7 +34,8 @@
 /// its confirmation and send no longer bodies then.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Longest time without a byte of a body. Callers wait half as long for a whole request.
+/// Longest time without a byte of a body: the usual limit on idle connections. Callers do not wait as
+/// long for a whole request.
 pub const STALL_LIMIT: Duration = Duration::from_secs(15);
 
 /// Retry delay for callers whose body does not fit into the memory. Bodies that make no progress give
--- a/crates/daemon/tests/entry_refusals.rs
+++ b/crates/daemon/tests/entry_refusals.rs
@@ -282,3 +282,31 @@
         assert_eq!(keys[2], None);
     });
 }
+
+/// Callers of a crowd whose bodies take more than the memory for bodies.
+const CROWD: usize = 80;
+
+/// Guards against callers that stop short of the end of large bodies and stay, so that the entry has
+/// no memory left for ordinary requests.
+#[test]
+fn stalled_large_bodies_leave_memory_for_small_ones() {
+    run_test(async {
+        let agent = FakeAgent::model("t1", three_tokens()).await;
+        let entry = TestEntry::with_agents(&[&agent]).await;
+        let body = "x".repeat(1_000_000);
+        let mut open = Vec::new();
+        // The smaller bodies take what the large ones leave.
+        for length in [body.len(), 10_000] {
+            for _ in 0..CROWD {
+                let whole = request("POST", PATH, &[TEAM], &body[..length]);
+                open.push(entry.send(&whole[..whole.len() - 1]).await);
+            }
+        }
+        for _ in 0..8 {
+            let reply = entry
+                .call(&request("POST", PATH, &[TEAM], &body[..10_000]))
+                .await;
+            assert_eq!(reply.status, 200, "{reply:?}");
+        }
+    });
+}
--- a/crates/daemon/tests/rendered_settings.rs
+++ b/crates/daemon/tests/rendered_settings.rs
@@ -81,6 +81,19 @@
     seconds_beyond_the_clock: ("stop_limit = 1e300 s", MAX_DURATION);
 }
 
+fn check_memory_limit(value: &str, megabytes: usize) {
+    let options = load(&format!("memory_limit = {value}")).unwrap();
+    assert_eq!(options.memory_limit, megabytes << 20);
+}
+
+test_cases! {
+    fn check_memory_limit(value: &str, megabytes: usize);
+    whole_megabytes: ("112 MB", 112);
+    megabytes_with_a_point: ("128.0 MB", 128);
+    absent_memory_limit: ("", 256);
+    memory_beyond_the_highest: ("1e300 MB", 1024);
+}
+
 fn check_first_start(value: &str, expected: bool) {
     let options = load(&format!("first_start = {value}")).unwrap();
     assert_eq!(options.first_start, expected);
@@ -107,5 +120,7 @@
     negative_duration: ("drain_limit = -1 ms", "expected a number above 0 with ms or s");
     duration_of_zero: ("drain_limit = 0 ms", "expected a number above 0 with ms or s");
     first_start_that_is_no_truth_value: ("first_start = yes", "`true` or `false`");
+    memory_without_a_unit: ("memory_limit = 256", "expected a number from 32 with MB");
+    memory_that_is_too_low: ("memory_limit = 16 MB", "expected a number from 32 with MB");
     infinite_duration: ("stop_limit = inf s", "expected a number above 0 with ms or s");
 }
