--- a/crates/core/src/dispatch/caller_memory.rs
+++ b/crates/core/src/dispatch/caller_memory.rs
@@ -13,6 +13,10 @@
 /// Largest body that may use the reserve, in bytes. Most requests are far smaller.
 pub const SMALL_BODY_BYTES: usize = 64 * 1024;
 
+/// Largest body that is always granted memory, in bytes. The number of connections bounds what such
+/// bodies take together, and a crowd of larger ones cannot keep them out.
+const TINY_BODY_BYTES: usize = 4 * 1024;
+
 /// Time without progress after which a body or an answer gives way. A caller on a slow link still
 /// makes progress within it.
 pub const STALL_TIME: Duration = Duration::from_secs(1);
@@ -29,7 +33,8 @@
 /// Highest number of bytes of answers of targets that are being read, whatever the memory.
 const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
 
-/// Division of the memory limit of a process. An eighth of it is left for everything else.
+/// Division of the memory limit of a process. A quarter of it is left for everything else: a gateway
+/// without such callers takes up to 38 MB in a fleet of 300 instances (docs/CAPACITY.md).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct MemoryPlan {
     /// Bytes of request bodies, from their first byte to the end of the request.
@@ -47,9 +52,9 @@
     /// Divides a limit, given in bytes.
     pub fn for_limit(limit: usize) -> Self {
         Self {
-            bodies: limit / 4,
-            collected: (limit / 8).min(MAX_COLLECTED_BYTES),
-            answers: limit / 16,
+            bodies: limit / 16 * 3,
+            collected: (limit / 32 * 3).min(MAX_COLLECTED_BYTES),
+            answers: limit / 64 * 3,
             connections: (limit / 8 * 3 / CONNECTION_BYTES).min(MAX_CONNECTIONS),
         }
     }
@@ -82,6 +87,12 @@
     is_displaced: bool,
 }
 
+impl MemoryHold {
+    fn is_stalled(&self, now: Instant) -> bool {
+        now >= self.progress_at + STALL_TIME
+    }
+}
+
 /// Memory that callers hold, up to a limit.
 #[derive(Debug)]
 pub struct CallerMemory {
@@ -142,7 +153,7 @@
         }
     }
 
-    /// Decides whether a body may grow to `bytes` bytes. Stalled bodies give way to it, and those
+    /// Decides whether a body may grow to `bytes` bytes, which a tiny one always may. Stalled bodies give way to it, and those
     /// that are not small to a small one. Nothing gives way if that would not free enough.
     pub fn grow(&mut self, key: HoldKey, bytes: usize, now: Instant) -> MemoryGrowth {
         let Some(hold) = self.holds.get(key).filter(|hold| !hold.is_displaced) else {
@@ -154,7 +165,7 @@
             false => self.limit - self.limit / RESERVE_SHARE,
         };
         let further = bytes.saturating_sub(hold.bytes);
-        if self.held + further <= limit {
+        if bytes <= TINY_BODY_BYTES || self.held + further <= limit {
             self.held += further;
             if let Some(hold) = self.holds.get_mut(key) {
                 hold.bytes += further;
@@ -162,9 +173,8 @@
             }
             return MemoryGrowth::Granted;
         }
-        let candidates = self.candidates(key, |hold| {
-            let is_stalled = now >= hold.progress_at + STALL_TIME;
-            is_stalled || is_small && hold.bytes > SMALL_BODY_BYTES
+        let candidates = self.candidates(key, now, |hold| {
+            hold.is_stalled(now) || is_small && hold.bytes > SMALL_BODY_BYTES
         });
         let goal = limit.checked_sub(further);
         let chosen = goal.and_then(|goal| self.choose(candidates, goal));
@@ -182,10 +192,10 @@
             hold.bytes += bytes;
             hold.progress_at = now;
         }
-        let is_stalled = |hold: &MemoryHold| now >= hold.progress_at + STALL_TIME;
-        let mut chosen = self.choose_some(self.candidates(key, is_stalled), self.limit);
+        let stalled = self.candidates(key, now, |hold| hold.is_stalled(now));
+        let mut chosen = self.choose_some(stalled, self.limit);
         self.displace(&chosen);
-        let further = self.choose_some(self.candidates(key, |_| true), 2 * self.limit);
+        let further = self.choose_some(self.candidates(key, now, |_| true), 2 * self.limit);
         self.displace(&further);
         chosen.extend(further);
         chosen
@@ -194,17 +204,23 @@
     /// Returns the hold that has made no progress for the longest time, which gives way from now on;
     /// `None` if none is stalled.
     pub fn displace_stalled(&mut self, now: Instant) -> Option<HoldKey> {
-        let stalled = self.holds.iter().filter(|(_, hold)| {
-            hold.can_yield && !hold.is_displaced && now >= hold.progress_at + STALL_TIME
-        });
+        let stalled = self
+            .holds
+            .iter()
+            .filter(|(_, hold)| hold.can_yield && !hold.is_displaced && hold.is_stalled(now));
         let (key, _) = stalled.min_by_key(|(_, hold)| hold.progress_at)?;
         self.displace(&[key]);
         Some(key)
     }
 
-    /// Returns the holds that may give way, those of the address that holds most first, and those
-    /// with the oldest progress first among them.
-    fn candidates(&self, except: HoldKey, filter: impl Fn(&MemoryHold) -> bool) -> Vec<HoldKey> {
+    /// Returns the holds that may give way: stalled ones first, among them those of the address that
+    /// holds most, and among these those with the oldest progress.
+    fn candidates(
+        &self,
+        except: HoldKey,
+        now: Instant,
+        filter: impl Fn(&MemoryHold) -> bool,
+    ) -> Vec<HoldKey> {
         let candidates = self.holds.iter().filter(|(key, hold)| {
             *key != except && hold.can_yield && !hold.is_displaced && hold.bytes > 0 && filter(hold)
         });
@@ -213,7 +229,10 @@
             *by_owner.entry(hold.owner).or_default() += hold.bytes;
         }
         let mut candidates: Vec<_> = candidates.collect();
-        candidates.sort_by_key(|(_, hold)| (Reverse(by_owner[&hold.owner]), hold.progress_at));
+        candidates.sort_by_key(|(_, hold)| {
+            let owner_bytes = Reverse(by_owner[&hold.owner]);
+            (!hold.is_stalled(now), owner_bytes, hold.progress_at)
+        });
         candidates.into_iter().map(|(key, _)| key).collect()
     }
 
--- a/crates/core/tests/caller_memory.rs
+++ b/crates/core/tests/caller_memory.rs
@@ -3,7 +3,7 @@
 use {
     sassafrasslip_core::dispatch::{
         CallerMemory, HoldKey, MemoryGrowth, MemoryPlan,
-        caller_memory::{SMALL_BODY_BYTES, STALL_TIME},
+        caller_memory::{CONNECTION_BYTES, SMALL_BODY_BYTES, STALL_TIME},
     },
     std::{net::IpAddr, time::Duration},
     tokio::time::Instant,
@@ -35,9 +35,9 @@
 fn parts_are_within_the_limit() {
     for limit in [32 * MB, 112 * MB, 256 * MB, 512 * MB] {
         let plan = MemoryPlan::for_limit(limit);
-        let connections = plan.connections * 48 * 1024;
+        let connections = plan.connections * CONNECTION_BYTES;
         let sum = plan.bodies + plan.collected + 2 * plan.answers + connections;
-        assert!(sum <= limit - limit / 8, "{plan:?}");
+        assert!(sum <= limit - limit / 4, "{plan:?}");
     }
     assert_eq!(MemoryPlan::for_limit(256 * MB).connections, 2048);
 }
@@ -113,8 +113,9 @@
         granted(&mut memory, 1, SMALL_BODY_BYTES, now);
     }
     let small = memory.add(address(2), now);
-    let growth = memory.grow(small, 100, now);
+    let growth = memory.grow(small, SMALL_BODY_BYTES, now);
     assert_eq!(growth, MemoryGrowth::Waiting(vec![large]));
+    granted(&mut memory, 2, 100, now);
 }
 
 /// Guards against answers of callers that do not read, which would fill the memory, and against
@@ -152,3 +153,43 @@
     assert_eq!(memory.displace_stalled(now), Some(second));
     assert_eq!(memory.displace_stalled(now), None);
 }
+
+/// Guards against small bodies that move by one byte a second and keep ordinary ones out.
+#[test]
+fn slow_small_bodies_do_not_keep_others_out() {
+    let start = Instant::now();
+    let plan = MemoryPlan::for_limit(112 * MB);
+    let mut memory = CallerMemory::new(plan.bodies);
+    let crowd = plan.bodies / SMALL_BODY_BYTES;
+    assert!(crowd < plan.connections, "{crowd} of {}", plan.connections);
+    let slow: Vec<_> = (0..crowd)
+        .map(|_| granted(&mut memory, 1, SMALL_BODY_BYTES, start))
+        .collect();
+    let now = start + STALL_TIME * 9 / 10;
+    for key in &slow {
+        memory.note_progress(*key, now);
+    }
+    granted(&mut memory, 2, 300, now);
+}
+
+/// Guards against a large body that moves and gives way although others are stalled.
+#[test]
+fn stalled_bodies_give_way_before_moving_ones() {
+    let start = Instant::now();
+    let mut memory = CallerMemory::new(16 * MB);
+    let stalled: Vec<_> = (10..14)
+        .map(|owner| granted(&mut memory, owner, 2 * MB, start))
+        .collect();
+    let now = start + 2 * STALL_TIME;
+    let moving = granted(&mut memory, 1, 4 * MB, now);
+    for owner in 100..164 {
+        granted(&mut memory, owner, SMALL_BODY_BYTES, now);
+    }
+    let small = memory.add(address(2), now);
+    let growth = memory.grow(small, SMALL_BODY_BYTES, now);
+    assert!(
+        matches!(&growth, MemoryGrowth::Waiting(keys)
+            if !keys.contains(&moving) && stalled.contains(&keys[0])),
+        "{growth:?}, moving {moving:?}"
+    );
+}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -40,9 +40,6 @@
 /// Largest response body that is buffered as a whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Bytes that all response bodies together may take while they are buffered.
-pub const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
-
 /// Largest body of a rejection that is read so that the connection can be reused, in bytes.
 const MAX_REJECTION_BYTES: usize = 64 * 1024;
 
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -101,7 +101,7 @@
     let begin_share = |displaced| state.held_bodies.share(address, displaced);
     let body = tokio::select! {
         biased;
-        body = request_body::read(incoming, limit, begin_share) => {
+        body = request_body::read(incoming, limit, body_deadline(state, caller, parts), begin_share) => {
             body.inspect_err(|error| log_body_error(*error, address))?
         }
         () = state.ending.cancelled() => {
@@ -122,6 +122,18 @@
     Ok((table, matched, service, body))
 }
 
+/// Returns when the body of a request has to be complete: when its caller leaves or the timeout of its
+/// route is over, after which it could not be answered in time.
+fn body_deadline(state: &GatewayState, caller: &CallerHead, parts: &request::Parts) -> Instant {
+    let table = state.table();
+    let found = table.and_then(|table| {
+        let found = table.find(&caller.host, parts.uri.path(), caller.key.as_deref());
+        found.ok().map(|matched| matched.route.timeout)
+    });
+    let timeout = found.unwrap_or(request_body::BODY_TIMEOUT);
+    Instant::now() + caller.timeout.map_or(timeout, |own| own.min(timeout))
+}
+
 fn log_body_error(error: BodyError, address: IpAddr) {
     if error == BodyError::Stalled {
         let limit_ms = request_body::STALL_LIMIT.as_millis();
--- a/crates/daemon/src/gateway/request_body.rs
+++ b/crates/daemon/src/gateway/request_body.rs
@@ -15,7 +15,10 @@
     hyper::body::Body,
     sassafrasslip_core::dispatch::caller_memory::SMALL_BODY_BYTES,
     std::{error::Error, fmt, result, time::Duration},
-    tokio::{task::spawn_local, time::timeout},
+    tokio::{
+        task::spawn_local,
+        time::{Instant, timeout, timeout_at},
+    },
     tokio_util::sync::CancellationToken,
 };
 
@@ -34,9 +37,17 @@
 /// its confirmation and send no longer bodies then.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Longest time without a byte of a body. Callers wait half as long for a whole request.
+/// Longest time without a byte of a body: the usual limit on idle connections. Callers do not wait as
+/// long for a whole request.
 pub const STALL_LIMIT: Duration = Duration::from_secs(15);
 
+/// Longest time for the body of a request that matches no route, or that names no timeout.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest time for the rest of a body that has given way. It is shorter than for others, because its
+/// connection may be needed for another caller.
+const DISPLACED_DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Retry delay for callers whose body does not fit into the memory. Bodies that make no progress give
 /// way after a second.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -58,7 +69,7 @@
     TooLong,
     /// The memory for bodies is used up, or this body has given way to others.
     NoMemory,
-    /// No byte has arrived for too long.
+    /// No byte has arrived for too long, or the whole body takes longer than its caller waits.
     Stalled,
 }
 
@@ -68,7 +79,7 @@
             Self::Broken => "body cannot be read",
             Self::TooLong => "body is too long",
             Self::NoMemory => "memory for bodies is used up",
-            Self::Stalled => "body makes no progress",
+            Self::Stalled => "body takes too long",
         })
     }
 }
@@ -90,7 +101,7 @@
                 Self::not_run("memory for bodies is used up", MEMORY_RETRY_DELAY)
             }
             BodyError::Stalled => {
-                Self::rejected(StatusCode::REQUEST_TIMEOUT, "body makes no progress")
+                Self::rejected(StatusCode::REQUEST_TIMEOUT, "body takes too long")
             }
         }
     }
@@ -98,15 +109,16 @@
 
 /// Reads a whole body, also if its request is refused afterwards. `limit` returns the size limit in
 /// force, in bytes; a body is too long if it exceeds both the limit at its beginning and the one at
-/// that time. The rest of a body that is refused is discarded. `begin_share` starts the share of the
-/// memory, which gives way when its token is cancelled.
+/// that time. The body has to end at `until`. The rest of a body that is refused is discarded.
+/// `begin_share` starts the share of the memory, which gives way when its token is cancelled.
 ///
 /// # Errors
 ///
-/// Fails if the body is too long, ends early or makes no progress, or if there is no memory for it.
+/// Fails if the body is too long, ends early or takes too long, or if there is no memory for it.
 pub async fn read<B>(
     mut incoming: B,
     limit: impl Fn() -> usize,
+    until: Instant,
     begin_share: impl FnOnce(CancellationToken) -> MemoryShare,
 ) -> Result<RequestBody>
 where
@@ -122,7 +134,7 @@
     let announced = incoming.size_hint().lower();
     // A raised limit may still reach this gateway, but not one that is so much higher.
     if announced > first_limit.max(MAX_DISCARDED_BYTES) as u64 {
-        discard_later(incoming);
+        discard_later(incoming, DISCARD_TIMEOUT);
         return Err(BodyError::TooLong);
     }
     let displaced = CancellationToken::new();
@@ -130,8 +142,8 @@
     let reading = collect(&mut incoming, &limit, first_limit, &share);
     let collected = tokio::select! {
         biased;
-        () = displaced.cancelled() => return Err(BodyError::NoMemory),
-        collected = reading => collected,
+        () = displaced.cancelled() => Err(BodyError::NoMemory),
+        collected = timeout_at(until, reading) => collected.unwrap_or(Err(BodyError::Stalled)),
     };
     match collected {
         Ok(bytes) => {
@@ -148,7 +160,10 @@
                 BodyError::TooLong => {
                     let _ = timeout(DISCARD_TIMEOUT, discard(&mut incoming)).await;
                 }
-                BodyError::NoMemory => discard_later(incoming),
+                BodyError::NoMemory if displaced.is_cancelled() => {
+                    discard_later(incoming, DISPLACED_DISCARD_TIMEOUT);
+                }
+                BodyError::NoMemory => discard_later(incoming, DISCARD_TIMEOUT),
                 BodyError::Broken | BodyError::Stalled => {}
             }
             Err(error)
@@ -180,7 +195,10 @@
             return Err(BodyError::TooLong);
         }
         if length > whole.capacity() {
-            let capacity = next_capacity(length, announced);
+            let highest = announced
+                .unwrap_or(usize::MAX)
+                .min(first_limit.max(limit()));
+            let capacity = next_capacity(length, highest);
             share.grow(capacity).await?;
             whole.reserve_exact(capacity - whole.len());
         }
@@ -189,25 +207,25 @@
     }
 }
 
-/// Returns the size of the buffer of a body of which `length` bytes have arrived. It doubles, so that
-/// the memory follows what has arrived and not what is announced.
-fn next_capacity(length: usize, announced: Option<usize>) -> usize {
+/// Returns the size of the buffer of a body of which `length` bytes have arrived. It doubles up to
+/// `highest`, so that the memory follows what has arrived and not what is announced.
+fn next_capacity(length: usize, highest: usize) -> usize {
     let doubled = if length <= SMALL_BODY_BYTES {
         length.next_power_of_two()
     } else {
         2 * length
     };
-    announced.map_or(doubled, |announced| doubled.min(announced).max(length))
+    doubled.min(highest).max(length)
 }
 
 /// Discards the rest of a body beside its refusal, so that the connection is not reset before the
 /// caller has read that.
-fn discard_later<B>(mut incoming: B)
+fn discard_later<B>(mut incoming: B, limit: Duration)
 where
     B: Body<Data = Bytes> + Unpin + 'static,
 {
     spawn_local(async move {
-        let _ = timeout(DISCARD_TIMEOUT, discard(&mut incoming)).await;
+        let _ = timeout(limit, discard(&mut incoming)).await;
     });
 }
 
--- a/crates/daemon/tests/rendered_settings.rs
+++ b/crates/daemon/tests/rendered_settings.rs
@@ -107,6 +107,19 @@
     regions_of_two_zones: ("ruwi/muscat,seeb/muscat", &[("ruwi", "muscat"), ("seeb", "muscat")]);
 }
 
+fn check_memory_limit(value: &str, megabytes: usize) {
+    let options = load(&format!("memory_limit = {value}")).unwrap();
+    assert_eq!(options.memory_limit, megabytes << 20);
+}
+
+test_cases! {
+    fn check_memory_limit(value: &str, megabytes: usize);
+    whole_megabytes: ("112 MB", 112);
+    megabytes_with_a_point: ("128.0 MB", 128);
+    absent_memory_limit: ("", 256);
+    memory_beyond_the_highest: ("1e300 MB", 1024);
+}
+
 fn check_first_start(value: &str, expected: bool) {
     let options = load(&format!("first_start = {value}")).unwrap();
     assert_eq!(options.first_start, expected);
@@ -135,5 +148,7 @@
     first_start_that_is_no_truth_value: ("first_start = yes", "`true` or `false`");
     evacuation_of_zero: ("evacuation_limit = 0 ms", "expected a number above 0 with ms or s");
     zone_without_a_region: ("zone_regions = ruwi", "expected ZONE/REGION");
+    memory_without_a_unit: ("memory_limit = 256", "expected a number from 32 with MB");
+    memory_that_is_too_low: ("memory_limit = 16 MB", "expected a number from 32 with MB");
     infinite_duration: ("stop_limit = inf s", "expected a number above 0 with ms or s");
 }
