Start late requests only in places that none on time needs

Cause: as the demand rises above the capacity of a service, late requests at some gateways take the places that requests on time need at others, and in order of arrival those start at the end of their time.

Each reserves the rate of arrivals times their length, and gives late requests the rest, by its share of them. Over the capacity the newest request on time starts first, and a late one without an expected place is refused at once. Returned callers count as late and go before other late ones.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! arguments, decisions are return values, and orders to engines go through [`RankControl`].
 
 pub mod channel_plan;
+pub mod demand_news;
 pub mod demand_window;
 pub mod dispatch_queue;
 pub mod event_stream;
@@ -12,6 +13,7 @@
 pub mod map_plan;
 pub mod map_switch;
 pub mod outage_plan;
+pub mod overload_plan;
 pub mod part_quarantine;
 pub mod pass_governor;
 pub mod pass_model;
@@ -35,12 +37,14 @@
 
 pub use {
     channel_plan::{ChannelPlan, plan_channel},
+    demand_news::{DemandNews, DemandReport},
     dispatch_queue::{DispatchQueue, WaitKey, WaitRefusal, WaitingRequest},
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step, may_run_beside},
     group_watch::{DatedView, GroupNews, GroupWatch, RankRejection},
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     outage_plan::{OutageStep, decide_during_outage},
+    overload_plan::{ArrivalRate, OverloadPlan, ServiceCapacity, ServiceDemand},
     part_quarantine::{
         CrashId, CrashReport, PartChange, PartProof, PartQuarantine, PartRestriction,
         QuarantinedPart,
--- a/crates/core/src/dispatch/dispatch_queue.rs
+++ b/crates/core/src/dispatch/dispatch_queue.rs
@@ -4,9 +4,15 @@
 //! miss its objective once the wait exceeds it. The queue starts the requests that can still be on
 //! time first, the oldest of them first. Late requests follow while there is capacity, and a
 //! request that cannot start before its caller leaves is refused as soon as that is known.
+//!
+//! Load pattern: a service over its capacity. The oldest request on time would start at the end of
+//! its time and miss its objective if its first event takes longer than usual. While the plan says
+//! that the service is overloaded, the newest one starts first.
 
 use {
-    super::request_limits::StartPace,
+    super::{
+        outage_plan::RETRY_AFTER_DIVISOR, overload_plan::OverloadPlan, request_limits::StartPace,
+    },
     slotmap::{SlotMap, new_key_type},
     std::time::Duration,
     tokio::time::Instant,
@@ -28,6 +34,8 @@
 /// waits as long.
 const MAX_WAIT_SECONDS: f64 = 3600.0;
 
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_8;
+
 /// Priority and time limits of a waiting request.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingRequest {
@@ -60,6 +68,14 @@
     sequence: u64,
 }
 
+impl Waiter {
+    /// Returns a number from 0 to 1 that stays the same while the request waits. Multiples of the
+    /// golden ratio are spread evenly.
+    fn draw(&self) -> f64 {
+        (self.sequence as f64 * GOLDEN_RATIO).fract()
+    }
+}
+
 /// Queue of the waiting requests of one service.
 #[derive(Debug, Default)]
 pub struct DispatchQueue {
@@ -68,6 +84,7 @@
     /// Moving average of the seconds between two starts while requests wait.
     start_interval: Option<f64>,
     last_start: Option<Instant>,
+    plan: OverloadPlan,
 }
 
 impl DispatchQueue {
@@ -87,6 +104,27 @@
         waiter.is_some_and(|waiter| waiter.request.on_time_until < now)
     }
 
+    /// Returns the number of waiting requests that can no longer be on time.
+    pub fn late_count(&self, now: Instant) -> usize {
+        let requests = self.requests();
+        requests
+            .filter(|(_, request)| request.on_time_until < now)
+            .count()
+    }
+
+    /// Replaces the plan that applies to the order of starts and to late requests.
+    pub fn set_plan(&mut self, plan: OverloadPlan) {
+        self.plan = plan;
+    }
+
+    /// Returns whether the plan allows a late request to start while `late_running` late requests
+    /// of this gateway run; false for an unknown key.
+    pub fn allows_late(&self, key: WaitKey, late_running: u32) -> bool {
+        let waiter = self.waiters.get(key);
+        let wait = waiter.and_then(|waiter| self.plan.late_wait(late_running, waiter.draw()));
+        wait.is_some_and(|wait| wait.is_zero())
+    }
+
     /// Returns the waiting requests in no particular order.
     pub fn requests(&self) -> impl Iterator<Item = (WaitKey, &WaitingRequest)> {
         self.waiters
@@ -109,7 +147,7 @@
     /// Returns the waiting requests in the order in which they start.
     pub fn order(&self, now: Instant) -> Vec<WaitKey> {
         let mut order: Vec<_> = self.waiters.iter().collect();
-        order.sort_by_key(|(_, waiter)| start_order(waiter, now));
+        order.sort_by_key(|(_, waiter)| start_order(waiter, &self.plan, now));
         order.into_iter().map(|(key, _)| key).collect()
     }
 
@@ -167,6 +205,44 @@
         refused
     }
 
+    /// Removes the late requests for which no place is expected before their callers leave, and
+    /// returns them with the time after which each caller may retry. `late_running` is the number
+    /// of late requests that this gateway has running.
+    ///
+    /// Without any expected place, the caller is told the latest time that it honours, which is the
+    /// most likely one to come after the overload.
+    pub fn refuse_late(&mut self, late_running: u32, now: Instant) -> Vec<(WaitKey, WaitRefusal)> {
+        let mut refused = Vec::new();
+        let mut position = 0;
+        for key in self.order(now) {
+            let waiter = self.waiters[key];
+            let request = waiter.request;
+            if request.on_time_until >= now {
+                continue;
+            }
+            let wait = self.plan.late_wait(late_running + position, waiter.draw());
+            // A caller that has come back cannot return once more, so it waits for a place that the
+            // next fall of the demand may free.
+            let keeps = !request.can_return;
+            if keeps || wait.is_some_and(|wait| now + wait <= request.start_until) {
+                position += 1;
+                continue;
+            }
+            let remaining = request.deadline.saturating_duration_since(now);
+            let latest = (remaining / RETRY_AFTER_DIVISOR).max(RETRY_AFTER_RANGE.0);
+            let retry_after = wait.unwrap_or(latest).clamp(RETRY_AFTER_RANGE.0, latest);
+            let refusal = WaitRefusal {
+                retry_after,
+                position: position as usize,
+            };
+            refused.push((key, refusal));
+        }
+        for (key, _) in &refused {
+            self.waiters.remove(*key);
+        }
+        refused
+    }
+
     /// Returns the time after which a refused caller with `position` requests ahead of it may
     /// retry: the time in which those are expected to start, within the bounds for such times.
     pub fn retry_after(&self, position: usize) -> Duration {
@@ -176,9 +252,18 @@
     }
 }
 
-/// Returns the sort key for the order of starts: the most urgent requests first, among them those
-/// that can still be on time, and among these the oldest.
-fn start_order(waiter: &Waiter, now: Instant) -> (u8, bool, u64) {
-    let is_late = waiter.request.on_time_until < now;
-    (waiter.request.priority, is_late, waiter.sequence)
+/// Returns the sort key for the order of starts: the most urgent requests first, and among them those
+/// that can still be on time. These start in order of arrival, or in reverse order during an
+/// overload. Of the late ones, callers that have come back start first, since they do not come back
+/// again, and then the oldest.
+fn start_order(waiter: &Waiter, plan: &OverloadPlan, now: Instant) -> (u8, bool, bool, u64) {
+    let request = &waiter.request;
+    let is_late = request.on_time_until < now;
+    let rank = if !is_late && plan.is_overloaded {
+        u64::MAX - waiter.sequence
+    } else {
+        waiter.sequence
+    };
+    let is_first_visit = is_late && !plan.is_unlimited() && request.can_return;
+    (request.priority, is_late, is_first_visit, rank)
 }
--- a/crates/core/src/dispatch/outage_plan.rs
+++ b/crates/core/src/dispatch/outage_plan.rs
@@ -15,7 +15,7 @@
 
 /// A refused caller retries after at most its remaining time divided by this number, even if it is
 /// told to wait longer.
-const RETRY_AFTER_DIVISOR: u32 = 3;
+pub const RETRY_AFTER_DIVISOR: u32 = 3;
 
 /// Decision on a request during an outage.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -75,6 +75,7 @@
     2027 CallerLeft Info "caller disconnected before the end of the answer";
     2028 RequestUnanswered Info "connection of a caller ended before the head of the answer";
     2029 TargetSilent Info "target is silent; its request stays with it until another target answers";
+    2055 OverloadChanged Info "demand that can be on time rose above the capacity, or fell below it";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
     3003 RetryBudgetExhausted Warn "retry budget is exhausted";
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod head_guard;
 pub mod head_timer;
 pub mod metrics;
+pub mod overload;
 pub mod part_news;
 pub mod part_watch;
 pub mod peer_frames;
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -6,7 +6,10 @@
 //! waiting in vain.
 
 use {
-    super::state::GatewayState,
+    super::{
+        overload::{self, LateMark},
+        state::GatewayState,
+    },
     sassafrasslip_core::{
         dispatch::{
             ChoiceInput, DispatchQueue, OutageStep, TargetChoice, TargetKey, WaitKey, WaitRefusal,
@@ -65,10 +68,14 @@
     service: ServiceName,
     /// Target at which the slot is.
     pub key: TargetKey,
+    /// Marks a request that was late when it started.
+    late: Option<LateMark>,
 }
 
 impl Drop for TargetLease {
     fn drop(&mut self) {
+        // The place counts as free when it is assigned below.
+        drop(self.late.take());
         if let Some(target) = self.state.roster.borrow_mut().get_mut(self.key) {
             target.own_in_flight = target.own_in_flight.saturating_sub(1);
             target.health.record_neutral();
@@ -95,6 +102,11 @@
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
+
+    /// Returns the number of waiting requests that can no longer be on time.
+    pub fn late_count(&self, now: Instant) -> usize {
+        self.requests.late_count(now)
+    }
 }
 
 /// Removes a request from its queue when its future is dropped, because the caller has left.
@@ -121,7 +133,11 @@
 ///
 /// Fails as soon as it is known that the request cannot start in time or that no target will take
 /// it.
-pub async fn acquire(state: &Rc<GatewayState>, request: AdmissionRequest) -> Result<TargetLease> {
+pub async fn acquire(
+    state: &Rc<GatewayState>,
+    mut request: AdmissionRequest,
+) -> Result<TargetLease> {
+    overload::note_arrival(state, &mut request, Instant::now());
     let (sender, receiver) = oneshot::channel();
     let service = request.service.clone();
     let key = {
@@ -171,7 +187,7 @@
     };
     let choice = choose_target(&state.roster.borrow(), &input, Instant::now());
     match choice {
-        TargetChoice::Chosen(key) => Some(lease(state, service, key)),
+        TargetChoice::Chosen(key) => Some(lease(state, service, key, false)),
         _ => None,
     }
 }
@@ -205,7 +221,14 @@
         let Some(queue) = queues.get_mut(service).filter(|queue| !queue.is_empty()) else {
             return;
         };
+        let late = queue.late_count(now);
+        queue
+            .requests
+            .set_plan(overload::plan(state, service, late, now));
         let cause = start_waiting(state, service, queue, now, &mut outcomes);
+        if cause.is_none() {
+            refuse_late(state, service, queue, now, &mut outcomes);
+        }
         let pace = start_pace(&state.roster.borrow(), service, state.fleet_share(now), now);
         for (key, mut refusal) in queue.requests.refuse_unservable(pace, now) {
             if let Some(waiter) = queue.waiters.remove(key) {
@@ -309,11 +332,17 @@
         };
         let choice = choose_target(&state.roster.borrow(), &input, now);
         match choice {
+            // Requests behind it can be on time if they are less urgent.
+            TargetChoice::Chosen(_)
+                if is_late
+                    && !queue
+                        .requests
+                        .allows_late(key, overload::late_running(state, service)) => {}
             TargetChoice::Chosen(target) => {
                 queue.requests.start(key, now);
                 if let Some(waiter) = queue.waiters.remove(key) {
                     state.metrics.waiting.dec();
-                    outcomes.push((waiter, Ok(lease(state, service, target))));
+                    outcomes.push((waiter, Ok(lease(state, service, target, is_late))));
                 }
             }
             TargetChoice::Exhausted => {
@@ -333,6 +362,24 @@
     None
 }
 
+/// Refuses the late requests for which no place is expected before their callers leave.
+fn refuse_late(
+    state: &GatewayState,
+    service: &ServiceName,
+    queue: &mut ServiceQueue,
+    now: Instant,
+    outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
+) {
+    let running = overload::late_running(state, service);
+    for (key, refusal) in queue.requests.refuse_late(running, now) {
+        if let Some(waiter) = queue.waiters.remove(key) {
+            state.metrics.waiting.dec();
+            let reason = "late, and all places are needed for requests on time";
+            outcomes.push((waiter, Err(AdmissionRefusal { refusal, reason })));
+        }
+    }
+}
+
 /// Refuses the requests for which waiting is pointless as long as the cause lasts.
 fn refuse_unavailable(
     state: &GatewayState,
@@ -368,11 +415,17 @@
     }
 }
 
-fn lease(state: &Rc<GatewayState>, service: &ServiceName, key: TargetKey) -> TargetLease {
+fn lease(
+    state: &Rc<GatewayState>,
+    service: &ServiceName,
+    key: TargetKey,
+    is_late: bool,
+) -> TargetLease {
     state.record_start(key);
     TargetLease {
         state: Rc::clone(state),
         service: service.clone(),
         key,
+        late: is_late.then(|| LateMark::new(state, service)),
     }
 }
--- a/crates/daemon/src/gateway/group_bounds.rs
+++ b/crates/daemon/src/gateway/group_bounds.rs
@@ -78,6 +78,11 @@
         bounds.collect()
     }
 
+    /// Returns the limit of a group; `None` while unknown.
+    pub fn limit(&self, group: &GroupName) -> Option<u32> {
+        self.groups.get(group)?.governor.limit()
+    }
+
     /// Returns the mean pause between events of a group's streams, or `None` while unknown.
     pub fn mean_pause(&self, group: &GroupName) -> Option<Duration> {
         self.groups.get(group)?.governor.mean_pause()
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 
 use {
     super::{
-        part_news,
+        overload, part_news,
         peer_frames::{request_frames, snapshot_frames},
         retries,
         state::{GatewayState, NewerPeer, ipv4},
@@ -146,7 +146,7 @@
         state.peers.borrow_mut().add_candidates(seeds(&state), now);
         remove_silent_peers(&state, now);
         let mut report = own_report(&state, incarnation, sequence);
-        let is_idle = report.targets.is_empty();
+        let is_idle = report.targets.is_empty() && report.demands.is_empty();
         let (known, remote) = {
             let peers = state.peers.borrow();
             let remote = peers.addresses(&state.own_zone, false);
@@ -243,6 +243,7 @@
         ..part_news::encode(&state.quarantine.borrow(), now)
     };
     retries::add_usage(state, &mut report, now);
+    report.demands = overload::records(state, now);
     report
 }
 
@@ -357,6 +358,7 @@
     }
     part_news::apply(state, &report, now);
     retries::apply_usage(state, address, &report, now);
+    overload::apply(state, address, &report, now);
     note_configuration(state, address, &report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
     let mut peers = state.peers.borrow_mut();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -11,6 +11,7 @@
         group_bounds::GroupBounds,
         head_timer::HeadTimeout,
         metrics::GatewayMetrics,
+        overload::OverloadState,
         peers::list_digest,
     },
     crate::options::{GatewayOptions, InstanceOptions},
@@ -141,6 +142,8 @@
     pub document: RefCell<Bytes>,
     /// Limits on the requests in flight in model groups.
     pub bounds: RefCell<GroupBounds>,
+    /// Demand for services whose targets form groups, here and at the peers.
+    pub overload: RefCell<OverloadState>,
     /// When this gateway started.
     pub started_at: Instant,
     /// Whether the process has received the stop signal.
@@ -229,6 +232,7 @@
             checked_at: RefCell::default(),
             document: RefCell::default(),
             bounds: RefCell::default(),
+            overload: RefCell::default(),
             started_at,
             leaving: Cell::new(false),
             stop_plan: Cell::new(None),
--- a/crates/daemon/src/options/gateway.rs
+++ b/crates/daemon/src/options/gateway.rs
@@ -46,6 +46,11 @@
     #[serde_as(as = "DisplayFromStr")]
     #[serde(default)]
     pub first_start: bool,
+    /// Whether late requests start only in places that no request on time needs, as counted over all
+    /// gateways.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(default)]
+    pub overload_sharing: bool,
     /// Time within which a leaving target must stop receiving new requests.
     #[serde_as(as = "PositiveDurationText")]
     #[serde(default = "default_drain_limit")]
