--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 pub mod caller_memory;
 pub mod channel_plan;
+pub mod demand_news;
 pub mod demand_window;
 pub mod dispatch_queue;
 pub mod event_stream;
@@ -14,6 +15,7 @@
 pub mod map_plan;
 pub mod map_switch;
 pub mod outage_plan;
+pub mod overload_plan;
 pub mod part_quarantine;
 pub mod pass_governor;
 pub mod pass_model;
@@ -43,6 +45,7 @@
 pub use {
     caller_memory::{CallerMemory, HoldKey, MemoryGrowth, MemoryPlan},
     channel_plan::{ChannelPlan, plan_channel},
+    demand_news::{DemandNews, DemandReport},
     dispatch_queue::{DispatchQueue, WaitKey, WaitRefusal, WaitingRequest},
     event_stream::EventSplitter,
     failure::{AttemptFailure, FailureContext, NextStep, decide_next_step, may_run_beside},
@@ -50,6 +53,7 @@
     home_regions::{HomeZones, ZoneRegions},
     map_switch::{OrderOutcome, RankControl, RankOrder, SwitchResult, free_group, switch_map},
     outage_plan::{OutageStep, decide_during_outage},
+    overload_plan::{ArrivalRate, OverloadPlan, ServiceCapacity, ServiceDemand},
     part_quarantine::{
         CrashId, CrashReport, PartChange, PartProof, PartQuarantine, PartRestriction,
         QuarantinedPart,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 
 use {
     super::{
-        part_news,
+        overload, part_news,
         peer_frames::{request_frames, snapshot_frames},
         retries,
         state::{GatewayState, NewerPeer, ipv4},
@@ -148,7 +148,7 @@
         remove_silent_peers(&state, now);
         target_pace::update(&state, now);
         let mut report = own_report(&state, incarnation, sequence);
-        let is_idle = report.targets.is_empty();
+        let is_idle = report.targets.is_empty() && report.demands.is_empty();
         let (known, remote) = {
             let peers = state.peers.borrow();
             let remote = peers.addresses(&state.own_zone, false);
@@ -248,6 +248,7 @@
     drop(roster);
     retries::add_usage(state, &mut report, now);
     target_pace::add_records(state, &mut report, now);
+    report.demands = overload::records(state, now);
     report
 }
 
@@ -363,6 +364,7 @@
     part_news::apply(state, &report, now);
     retries::apply_usage(state, address, &report, now);
     target_pace::apply_records(state, &report, now);
+    overload::apply(state, address, &report, now);
     note_configuration(state, address, &report, now);
     state.note_reported_zones(&report, now);
     let loads: Vec<PeerLoad> = report.targets.into_iter().zip(report.in_flight).collect();
