Count found paces of ranks up to a fifth of their group

Cause: when a zone of a group came back, a third of its ranks got an eighth of their share while the others were full.

Change: found paces count up to a fifth of a group's ranks; for plain services the limit stays at half of the targets. The cold bound holds as before.

Process tests of the gateway not run.

--- a/crates/core/src/dispatch/target_pace.rs
+++ b/crates/core/src/dispatch/target_pace.rs
@@ -50,6 +50,14 @@
 /// Weight of the newest answer in the mean time to the first answer.
 const ANSWER_WEIGHT: f64 = 0.1;
 
+/// Part of a service's targets up to which paces that are found count. Beyond it the others could
+/// not carry the load.
+const MAX_PACED_TARGETS: f64 = 0.5;
+
+/// The same for the ranks of a group, which are loaded to about four fifths and whose passes take
+/// longer with each request that another rank takes over.
+const MAX_PACED_RANKS: f64 = 0.2;
+
 /// Time over which the rate of a service's requests is averaged.
 const DEMAND_TIME: Duration = Duration::from_secs(2);
 
@@ -509,7 +517,13 @@
         let mut changes = mem::take(&mut self.listed);
         for paced in targets {
             let count = members.get(&(paced.service, paced.group));
-            let is_waived = count.is_some_and(|(all, fresh)| 2 * fresh > *all);
+            let part = if paced.group.is_some() {
+                MAX_PACED_RANKS
+            } else {
+                MAX_PACED_TARGETS
+            };
+            let is_waived =
+                count.is_some_and(|(all, fresh)| f64::from(*fresh) > part * f64::from(*all));
             let share = self.services.get(paced.service).and_then(|it| it.share);
             let pace = self.targets.get_mut(&paced.target);
             if let Some(found) = pace.and_then(|pace| pace.found.as_mut())
--- a/crates/core/tests/target_pace.rs
+++ b/crates/core/tests/target_pace.rs
@@ -513,6 +513,7 @@
 test_cases! {
     fn check_new_ranks(new: usize, is_paced: bool);
     one_new_rank_is_paced: (1, true);
+    zone_of_new_ranks_does_not_throttle_its_group: (5, false);
     group_of_new_ranks_is_not_throttled: (16, false);
 }
 
