--- a/crates/daemon/tests/rendered_settings.rs
+++ b/crates/daemon/tests/rendered_settings.rs
@@ -106,6 +106,7 @@
     unit_without_a_number: ("stop_limit =  s", "stop_limit = s: expected a number above 0");
     negative_duration: ("drain_limit = -1 ms", "expected a number above 0 with ms or s");
     duration_of_zero: ("drain_limit = 0 ms", "expected a number above 0 with ms or s");
+    overload_sharing_that_is_no_truth_value: ("overload_sharing = shared", "`true` or `false`");
     first_start_that_is_no_truth_value: ("first_start = yes", "`true` or `false`");
     infinite_duration: ("stop_limit = inf s", "expected a number above 0 with ms or s");
 }
