Plan late starts by the time that streams have a slot, and change nothing without a plan

Cause (review of the starts under overload): the length of a request included its wait, so that a wait raised the capacity that seemed to be needed; without a plan, and with the setting off, late requests were refused early and reported; a caller with a short timeout of its own counted as returned below the capacity too; limits of a broken group counted; the order of starts flipped at the capacity; every late request and every event cost a search of all targets.

Change: the length is measured from the first attempt, or taken from the peers; the plan is kept for 20 ms; an overload ends at 0.95 of the capacity; returned callers count as late during an overload only; groups that run count with their own latest limit; a late request that may not start ends the search for the late ones behind it.

--- a/crates/core/src/dispatch/demand_news.rs
+++ b/crates/core/src/dispatch/demand_news.rs
@@ -83,6 +83,17 @@
         }
     }
 
+    /// Returns the mean time for which a request runs, as the peers measure it; `None` if none has.
+    pub fn mean_length(&self, service: u32, now: Instant) -> Option<Duration> {
+        let known = self
+            .recent(service, now)
+            .filter_map(|report| report.capacity);
+        let (sum, count) = known.fold((Duration::ZERO, 0), |(sum, count), capacity| {
+            (sum + capacity.length, count + 1)
+        });
+        (count > 0).then(|| sum / count)
+    }
+
     fn recent(&self, service: u32, now: Instant) -> impl Iterator<Item = &DemandReport> {
         let recent = self.peers.values();
         let recent = recent.filter(move |peer| now < peer.heard_at + REPORT_LIFETIME);
--- a/crates/core/src/dispatch/dispatch_queue.rs
+++ b/crates/core/src/dispatch/dispatch_queue.rs
@@ -213,11 +213,15 @@
     /// most likely one to come after the overload.
     pub fn refuse_late(&mut self, late_running: u32, now: Instant) -> Vec<(WaitKey, WaitRefusal)> {
         let mut refused = Vec::new();
+        if self.plan.is_unlimited() {
+            return refused;
+        }
         let mut position = 0;
         for key in self.order(now) {
             let waiter = self.waiters[key];
             let request = waiter.request;
-            if request.on_time_until >= now {
+            // What can't start any more is refused for that reason.
+            if request.on_time_until >= now || request.start_until < now {
                 continue;
             }
             let wait = self.plan.late_wait(late_running + position, waiter.draw());
--- a/crates/core/src/dispatch/overload_plan.rs
+++ b/crates/core/src/dispatch/overload_plan.rs
@@ -19,6 +19,10 @@
 /// Span over which arrivals are counted. Waves of demand last several seconds.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Load, as a share of the capacity, at which an overload ends. The figures of the gateways vary by some
+/// percent, and each end changes the order of starts.
+const END_SHARE: f64 = 0.95;
+
 /// Smallest part of a place that counts as a chance for a late request to start.
 const MIN_QUOTA: f64 = 0.01;
 
@@ -65,6 +69,8 @@
     /// Part of the places for late requests that belongs to this gateway; unlimited without a known
     /// capacity.
     quota: f64,
+    /// Places that the arrivals on time need, as a share of the capacity.
+    load: f64,
     length: Duration,
 }
 
@@ -73,6 +79,7 @@
         Self {
             is_overloaded: false,
             quota: f64::INFINITY,
+            load: 0.0,
             length: Duration::ZERO,
         }
     }
@@ -88,10 +95,21 @@
         Self {
             is_overloaded: spare <= 0.0,
             quota: spare * share,
+            load: needed / f64::from(capacity.limit.max(1)),
             length: capacity.length,
         }
     }
 
+    /// Returns the plan that follows one with or without an overload, which goes on until the load is
+    /// somewhat below the capacity.
+    pub fn following(self, was_overloaded: bool) -> Self {
+        let continues = was_overloaded && self.load >= END_SHARE;
+        Self {
+            is_overloaded: self.is_overloaded || continues,
+            ..self
+        }
+    }
+
     /// Returns whether no capacity is known, so that the plan restricts nothing.
     pub fn is_unlimited(&self) -> bool {
         self.quota.is_infinite()
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -266,3 +266,43 @@
     news.record(second, [], later);
     assert_eq!(news.total(SERVICE, later), ServiceDemand::default());
 }
+
+/// Without a known capacity, a queue must refuse what it refused before the gateways shared their
+/// demand, and for the same reasons.
+#[test]
+fn queue_without_a_plan_refuses_nothing_for_being_late() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut queue = DispatchQueue::default();
+    queue.push(request(now - Duration::from_secs(2), false));
+    queue.push(request(now - Duration::from_millis(500), false));
+    assert_eq!(queue.refuse_late(3, now), []);
+}
+
+/// The figures of the gateways vary, and each end of an overload changes the order of starts.
+#[test]
+fn overload_ends_below_the_capacity() {
+    let plan = |arrivals_per_s| {
+        let demand = ServiceDemand {
+            arrivals_per_s,
+            ..ServiceDemand::default()
+        };
+        OverloadPlan::new(&demand, &demand, &CAPACITY)
+    };
+    assert!(!plan(SERVED_PER_S * 0.98).following(false).is_overloaded);
+    assert!(plan(SERVED_PER_S * 0.98).following(true).is_overloaded);
+    assert!(!plan(SERVED_PER_S * 0.94).following(true).is_overloaded);
+}
+
+/// A gateway whose own streams have not ended yet uses what its peers have measured.
+#[test]
+fn length_is_known_from_peers() {
+    let now = Instant::now();
+    let mut news = DemandNews::default();
+    assert_eq!(news.mean_length(SERVICE, now), None);
+    let report = DemandReport {
+        demand: ServiceDemand::default(),
+        capacity: Some(CAPACITY),
+    };
+    news.record(Ipv4Addr::LOCALHOST, [(SERVICE, report)], now);
+    assert_eq!(news.mean_length(SERVICE, now), Some(CAPACITY.length));
+}
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -341,8 +341,12 @@
 ) -> Option<UnavailableCause> {
     home_requests::refuse_homeless(state, service, queue, now, outcomes);
     let slice = start_slice(state, now);
+    let mut allows_late = true;
     for key in queue.requests.order(now) {
         let is_late = queue.requests.is_late(key, now);
+        if is_late && !allows_late {
+            continue;
+        }
         let group_limits = state.bounds.borrow_mut().limits(now, is_late);
         let waiter = queue.waiters.get(key);
         let tried = waiter.map(|waiter| waiter.tried.as_slice());
@@ -364,7 +368,10 @@
                 if is_late
                     && !queue
                         .requests
-                        .allows_late(key, overload::late_running(state, service)) => {}
+                        .allows_late(key, overload::late_running(state, service)) =>
+            {
+                allows_late = false;
+            }
             TargetChoice::Chosen(target) => {
                 queue.requests.start(key, now);
                 if let Some(waiter) = queue.waiters.remove(key) {
@@ -455,6 +462,6 @@
         state: Rc::clone(state),
         service: service.clone(),
         key,
-        late: is_late.then(|| LateMark::new(state, service)),
+        late: is_late.then(|| LateMark::new(state, service)).flatten(),
     }
 }
--- a/crates/daemon/src/gateway/overload.rs
+++ b/crates/daemon/src/gateway/overload.rs
@@ -10,30 +10,40 @@
             ArrivalRate, DemandNews, DemandReport, OverloadPlan, ServiceCapacity, ServiceDemand,
         },
         events::LogEvent::OverloadChanged,
-        ids::ServiceName,
+        ids::{GroupName, ServiceName},
         log_event,
     },
     sassafrasslip_proto::peer::{LoadReport, ServiceDemandRecord},
-    std::{
-        collections::{HashMap, HashSet},
-        net::Ipv4Addr,
-        rc::Rc,
-        time::Duration,
-    },
+    std::{collections::HashMap, net::Ipv4Addr, rc::Rc, time::Duration},
     tokio::time::Instant,
     xxhash_rust::xxh3::xxh3_64,
 };
 
+/// Weight of the newest request in the mean time for which requests run.
+const LENGTH_WEIGHT: f64 = 0.05;
+
+/// Time for which a plan is used. Its figures change with reports, which come each 100 ms.
+const PLAN_TIME: Duration = Duration::from_millis(20);
+
 /// Demand for one service at this gateway.
 #[derive(Debug, Default)]
 struct OwnDemand {
     arrivals: ArrivalRate,
     late_running: u32,
-    /// Latest limit while all groups had a known one. After an outage the limits are unknown until
-    /// passes have been measured, and far below the number of slots.
-    last_limit: Option<u32>,
-    /// Whether the last plan found the service over its capacity.
-    is_overloaded: bool,
+    /// Mean time for which a stream of the service has a slot; `None` before the first one has
+    /// ended. Time in the queue is no part of it.
+    length: Option<Duration>,
+    /// Latest known limit of each group. After an outage the limits are unknown until passes have
+    /// been measured, and far below the number of slots.
+    last_limits: HashMap<GroupName, u32>,
+    /// Latest plan, and when it was made.
+    plan: Option<(OverloadPlan, Instant)>,
+}
+
+impl OwnDemand {
+    fn is_overloaded(&self) -> bool {
+        self.plan.is_some_and(|(plan, _)| plan.is_overloaded)
+    }
 }
 
 /// Demand for services whose targets form groups, here and at the peers.
@@ -51,18 +61,21 @@
 }
 
 impl LateMark {
-    /// Counts a request that starts late.
-    pub fn new(state: &Rc<GatewayState>, service: &ServiceName) -> Self {
+    /// Counts a request that starts late; `None` if the gateways share no demand.
+    pub fn new(state: &Rc<GatewayState>, service: &ServiceName) -> Option<Self> {
+        if !state.options.overload_sharing {
+            return None;
+        }
         let mut overload = state.overload.borrow_mut();
         overload
             .own
             .entry(service.clone())
             .or_default()
             .late_running += 1;
-        Self {
+        Some(Self {
             state: Rc::clone(state),
             service: service.clone(),
-        }
+        })
     }
 }
 
@@ -80,24 +93,44 @@
     xxh3_64(service.as_str().as_bytes()) as u32
 }
 
-/// Counts a request that begins to wait. One that was refused before is late from the beginning,
-/// since its objective counts from its first arrival.
+/// Records for how long a stream has had a slot.
+pub fn record_length(state: &GatewayState, service: &ServiceName, length: Duration) {
+    if !state.options.overload_sharing {
+        return;
+    }
+    let mut overload = state.overload.borrow_mut();
+    let own = overload.own.entry(service.clone()).or_default();
+    let mean = own.length.unwrap_or(length);
+    let mean = mean.mul_f64(1.0 - LENGTH_WEIGHT) + length.mul_f64(LENGTH_WEIGHT);
+    own.length = Some(mean);
+}
+
+/// Counts a request that begins to wait. During an overload, one that was refused before is late from
+/// the beginning, since its objective counts from its first arrival.
 pub fn note_arrival(state: &GatewayState, request: &mut AdmissionRequest, now: Instant) {
-    if !state.options.overload_sharing
-        || !request.tried.is_empty()
-        || capacity(state, &request.service).is_none()
+    if !state.options.overload_sharing || !request.tried.is_empty() {
+        return;
+    }
+    let mut overload = state.overload.borrow_mut();
+    let OverloadState { own, peers } = &mut *overload;
+    let is_known = own
+        .get(&request.service)
+        .is_some_and(|own| own.length.is_some());
+    if !is_known
+        && peers
+            .mean_length(service_hash(&request.service), now)
+            .is_none()
     {
         return;
     }
+    let own = own.entry(request.service.clone()).or_default();
     let waiting_request = &mut request.waiting_request;
-    if !waiting_request.can_return {
+    if own.is_overloaded() && !waiting_request.can_return {
         let past = waiting_request.arrived_at - Duration::from_nanos(1);
         waiting_request.on_time_until = waiting_request.on_time_until.min(past);
-        return;
+    } else {
+        own.arrivals.record(now);
     }
-    let mut overload = state.overload.borrow_mut();
-    let own = overload.own.entry(request.service.clone()).or_default();
-    own.arrivals.record(now);
 }
 
 /// Returns the number of requests of this gateway that run and were late when they started.
@@ -118,22 +151,28 @@
     if !state.options.overload_sharing {
         return OverloadPlan::default();
     }
-    let Some(measured) = capacity(state, service) else {
+    let mut overload = state.overload.borrow_mut();
+    let OverloadState { own, peers } = &mut *overload;
+    let Some(own) = own.get_mut(service) else {
         return OverloadPlan::default();
     };
-    let mut overload = state.overload.borrow_mut();
+    if let Some((plan, _)) = own.plan.filter(|(_, at)| now < *at + PLAN_TIME) {
+        return plan;
+    }
     let hash = service_hash(service);
-    let peers = overload.peers.total(hash, now);
-    let last_limit = overload.own.get(service).and_then(|own| own.last_limit);
-    let own_capacity = measured.or_limit(last_limit);
-    let capacity = overload.peers.mean_capacity(hash, own_capacity, now);
-    let entry = overload.own.entry(service.clone()).or_default();
-    entry.last_limit = measured.limit.or(last_limit);
-    let own = entry.demand(late_waiting, now);
-    let all = own.plus(peers);
-    let plan = OverloadPlan::new(&own, &all, &capacity);
-    if plan.is_overloaded != entry.is_overloaded {
-        entry.is_overloaded = plan.is_overloaded;
+    let length = own.length.or_else(|| peers.mean_length(hash, now));
+    let groups = length.and_then(|length| Some((length, groups(state, service)?)));
+    let Some((length, groups)) = groups else {
+        return OverloadPlan::default();
+    };
+    let limit = own.total_limit(&groups);
+    let capacity = peers.mean_capacity(hash, ServiceCapacity { limit, length }, now);
+    let was_overloaded = own.is_overloaded();
+    let own_demand = own.demand(late_waiting, now);
+    let all = own_demand.plus(peers.total(hash, now));
+    let plan = OverloadPlan::new(&own_demand, &all, &capacity).following(was_overloaded);
+    own.plan = Some((plan, now));
+    if plan.is_overloaded != was_overloaded {
         log_event!(
             OverloadChanged,
             service = service,
@@ -149,6 +188,21 @@
 }
 
 impl OwnDemand {
+    /// Returns the sum of the limits of the groups that run, or of all while none does. A group whose
+    /// limit is unknown counts with its latest one, or else with its slots.
+    fn total_limit(&mut self, groups: &[GroupCapacity]) -> u32 {
+        let runs = groups.iter().any(|group| group.runs);
+        let counted = groups.iter().filter(|group| group.runs || !runs);
+        let limits = counted.map(|group| {
+            if let Some(limit) = group.limit {
+                self.last_limits.insert(group.name.clone(), limit);
+            }
+            let last = self.last_limits.get(&group.name);
+            last.copied().unwrap_or(group.slots)
+        });
+        limits.fold(0, u32::saturating_add)
+    }
+
     fn demand(&mut self, late_waiting: usize, now: Instant) -> ServiceDemand {
         ServiceDemand {
             arrivals_per_s: self.arrivals.per_second(now),
@@ -158,65 +212,63 @@
     }
 }
 
-/// What this gateway has measured of the groups of a service.
-#[derive(Clone, Copy, Debug)]
-struct MeasuredCapacity {
-    /// Sum of the limits of the groups; `None` if that of a group is unknown.
-    limit: Option<u32>,
+/// What this gateway knows of a group.
+#[derive(Clone, Debug)]
+struct GroupCapacity {
+    name: GroupName,
     slots: u32,
-    length: Duration,
-}
-
-impl MeasuredCapacity {
-    /// Returns the capacity with the measured limit, else with the given one, else with all slots.
-    fn or_limit(self, limit: Option<u32>) -> ServiceCapacity {
-        ServiceCapacity {
-            limit: self.limit.or(limit).unwrap_or(self.slots),
-            length: self.length,
-        }
-    }
+    /// Limit on the running requests; `None` while unknown.
+    limit: Option<u32>,
+    runs: bool,
 }
 
-/// Returns what the groups of a service can run; `None` if it has a target without a group, or if no
-/// stream of it has ended yet.
-fn capacity(state: &GatewayState, service: &ServiceName) -> Option<MeasuredCapacity> {
-    let length = state.usual_duration(service, true)?.mean();
+/// Returns the groups of a service; `None` if it has a target without a group, or no target.
+fn groups(state: &GatewayState, service: &ServiceName) -> Option<Vec<GroupCapacity>> {
     let roster = state.roster.borrow();
     let bounds = state.bounds.borrow();
-    let mut slots = 0;
-    let mut groups = HashSet::new();
+    let mut groups: Vec<GroupCapacity> = Vec::new();
     for (_, target) in roster.of_service(service) {
-        groups.insert(&target.entry.group.as_ref()?.name);
-        slots += target.entry.slots;
+        let name = &target.entry.group.as_ref()?.name;
+        match groups.iter_mut().find(|group| group.name == *name) {
+            Some(group) => group.slots = group.slots.saturating_add(target.entry.slots),
+            None => groups.push(GroupCapacity {
+                name: name.clone(),
+                slots: target.entry.slots,
+                limit: bounds.limit(name),
+                runs: target.group_runs,
+            }),
+        }
     }
-    let limits = groups.iter().map(|group| bounds.limit(group));
-    let limit = limits.sum();
-    (slots > 0).then_some(MeasuredCapacity {
-        limit,
-        slots,
-        length,
-    })
+    (!groups.is_empty()).then_some(groups)
+}
+
+/// Returns the sum of the limits of the groups of a service; `None` if one is unknown.
+fn measured_limit(state: &GatewayState, service: &ServiceName) -> Option<u32> {
+    let groups = groups(state, service)?;
+    groups.iter().map(|group| group.limit).sum()
 }
 
 /// Returns what a load report tells of the demand at this gateway.
 pub fn records(state: &GatewayState, now: Instant) -> Vec<ServiceDemandRecord> {
+    if !state.options.overload_sharing {
+        return Vec::new();
+    }
     let queues = state.queues.borrow();
     let mut overload = state.overload.borrow_mut();
     let records = overload.own.iter_mut().map(|(service, own)| {
         let queue = queues.get(service);
         let demand = own.demand(queue.map_or(0, |queue| queue.late_count(now)), now);
-        (service, demand)
+        (service, demand, own.length)
     });
-    let records = records.filter(|(_, demand)| *demand != ServiceDemand::default());
-    let records = records.map(|(service, demand)| {
-        let measured = capacity(state, service);
-        let length = measured.map(|measured| measured.length.as_millis() as u32);
+    let records = records.filter(|(_, demand, _)| *demand != ServiceDemand::default());
+    let records = records.map(|(service, demand, length)| {
+        let length = length.map(|length| length.as_millis() as u32);
         ServiceDemandRecord {
             service: service_hash(service),
             arrivals: demand.arrivals_per_s.round() as u32,
             late_running: demand.late_running,
             late_waiting: demand.late_waiting,
-            limit: measured.and_then(|measured| measured.limit).unwrap_or(0),
+            limit: measured_limit(state, service).unwrap_or(0),
             length_ms: length.unwrap_or(0),
         }
     });
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -6,6 +6,7 @@
     super::{
         admission::{self, AdmissionRefusal, AdmissionRequest, TargetLease},
         exchange::{self, AttemptError, AttemptInput, CallerRequest, OpenAnswer},
+        overload,
         relay::StartedStream,
         reply::{LocalReply, ReplyBody},
         request_body::{self, BodyError, RequestBody},
@@ -727,6 +728,9 @@
             self.state.record_duration(&self.service, is_stream, total);
         }
         let waited = self.sent_at() - self.arrived_at;
+        if status.is_success() && self.matched.route.repeat.is_stream() {
+            overload::record_length(&self.state, &self.service, total.saturating_sub(waited));
+        }
         log_event!(
             GatewayAnswered,
             request_id = self.request_id(),
