--- a/crates/core/src/dispatch/target_choice.rs
+++ b/crates/core/src/dispatch/target_choice.rs
@@ -130,9 +130,12 @@
             && !input.tried.contains(key)
             && target.in_flight() < slots(target)
             && !summary.is_full(target, input)
-            && roster.admits(target, now)
+            && (roster.admits(target, now) || roster.admits_idle(target, now))
     });
-    let free: Vec<_> = free.collect();
+    let mut free: Vec<_> = free.collect();
+    if free.iter().any(|(_, target)| roster.admits(target, now)) {
+        free.retain(|(_, target)| roster.admits(target, now));
+    }
     let has_certain = free.iter().any(|(_, target)| !roster.is_doubtful(target));
     let scored: Vec<_> = free
         .into_iter()
--- a/crates/core/src/dispatch/target_entry.rs
+++ b/crates/core/src/dispatch/target_entry.rs
@@ -183,7 +183,11 @@
             target: self.name_hash,
             service: &self.entry.service,
             group: self.entry.group.as_ref().map(|member| &member.name),
-            is_usable: self.takes_work() && self.group_runs && !self.is_superseded,
+            // A hold-off also ejects the target until a trial request succeeds.
+            is_usable: self.takes_work()
+                && self.group_runs
+                && !self.is_superseded
+                && !self.health.is_ejected(),
         }
     }
 }
--- a/crates/core/src/dispatch/target_pace.rs
+++ b/crates/core/src/dispatch/target_pace.rs
@@ -64,6 +64,22 @@
 /// Time for which the last rate of a found pace is sent to the peers.
 const END_NEWS_TIME: Duration = Duration::from_secs(2);
 
+/// Time after its start at which a found pace ends whatever the answers are. A target that stays
+/// slow is the business of its health and of the slow ranks.
+const MAX_FOUND_TIME: Duration = Duration::from_secs(30);
+
+/// Time for which the highest number of gateways counts for the cold bound. Gateways on the sides of
+/// a partition send requests to the same target. A fleet that shrinks loses only pace.
+const FLEET_MEMORY: Duration = Duration::from_secs(600);
+
+/// Time after the first report of another gateway from which on a gateway knows the fleet: reports
+/// that name all gateways come every two seconds from each peer in fleets of usual size.
+const FLEET_KNOWN_AFTER: Duration = Duration::from_secs(4);
+
+/// Number of gateways that is assumed before, if more are not known: that of the largest fleets in
+/// service. Too high a number costs a cold target some requests, too low a one crashes it.
+const ASSUMED_GATEWAYS: u32 = 64;
+
 /// Longest time for which a target may call itself cold; longer ones are cut to this.
 const MAX_COLD_TIME: Duration = Duration::from_secs(600);
 
@@ -104,6 +120,8 @@
     pub rule: PaceRule,
     /// Number of gateways that may send requests, this one included.
     pub gateways: u32,
+    /// Whether other gateways are to be expected.
+    pub has_peers: bool,
     /// Random number, uniform from 0 to 1, that gives this gateway its own due times.
     pub draw: f64,
 }
@@ -129,7 +147,7 @@
     /// The pace of the target is found from its answers; holds the first rate and the share that it
     /// leads to, in requests per second of all gateways.
     Begun(f64, f64),
-    /// The target carries its share; holds the time that it has taken.
+    /// The target carries its share, or its pace has lasted as long as it may; holds the time that it has taken.
     Carries(Duration),
 }
 
@@ -217,10 +235,45 @@
     }
 }
 
+/// Number of gateways that counts for the cold bound.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownFleet {
+    gateways: u32,
+    /// Time at which that number was last known.
+    known_at: Option<Instant>,
+    began_at: Option<Instant>,
+    /// Time at which another gateway was first known.
+    heard_at: Option<Instant>,
+    is_assumed: bool,
+}
+
+impl KnownFleet {
+    fn update(&mut self, input: PaceInput, now: Instant) {
+        let is_stale = self.known_at.is_none_or(|at| now >= at + FLEET_MEMORY);
+        if input.gateways >= self.gateways || is_stale {
+            self.gateways = input.gateways;
+            self.known_at = Some(now);
+        }
+        let began_at = *self.began_at.get_or_insert(now);
+        if input.gateways > 1 {
+            self.heard_at.get_or_insert(now);
+        }
+        let heard = self.heard_at.map(|at| at + FLEET_KNOWN_AFTER);
+        let known_from = heard.unwrap_or(began_at + FLEET_MEMORY);
+        self.is_assumed = input.has_peers && now < known_from;
+    }
+
+    fn gateways(&self) -> u32 {
+        let least = if self.is_assumed { ASSUMED_GATEWAYS } else { 1 };
+        self.gateways.max(least)
+    }
+}
+
 /// Paces of the targets that are cold, have just started or are back after an outage.
 #[derive(Debug, Default)]
 pub struct TargetPacer {
     input: PaceInput,
+    fleet: KnownFleet,
     services: HashMap<ServiceName, ServicePace>,
     targets: HashMap<u32, TargetPace>,
     /// Changes by the list of targets, which the next update returns.
@@ -401,6 +454,15 @@
         interval.is_none_or(|interval| now >= due_at(pace.slot, interval, now))
     }
 
+    /// Returns whether the cold bound alone allows this gateway a request at a target now.
+    pub fn admits_bound(&self, target: u32, now: Instant) -> bool {
+        let Some(pace) = self.targets.get(&target) else {
+            return true;
+        };
+        let interval = self.bound_interval(pace, now);
+        interval.is_none_or(|interval| now >= due_at(pace.slot, interval, now))
+    }
+
     /// Records that this gateway starts a request at a target.
     pub fn record_start(&mut self, target: u32, service: &ServiceName, now: Instant) {
         if !self.is_active(service) {
@@ -411,8 +473,16 @@
         let Some(pace) = self.targets.get(&target) else {
             return;
         };
+        let bound = self.bound_interval(pace, now);
         let interval = self.interval(pace, now).unwrap_or_default();
-        let anchor = due_at(pace.slot, interval, now);
+        let mut anchor = due_at(pace.slot, interval, now);
+        if anchor > now {
+            // The found pace was passed over. Its slot stays unless the cold bound counts the start.
+            let Some(bound) = bound else {
+                return;
+            };
+            anchor = due_at(pace.slot, bound, now);
+        }
         if let Some(pace) = self.targets.get_mut(&target) {
             pace.slot = StartSlot {
                 anchor,
@@ -424,14 +494,18 @@
     /// Returns the interval between starts of this gateway at a target; `None` if it has no pace.
     fn interval(&self, pace: &TargetPace, now: Instant) -> Option<Duration> {
         let gateways = self.input.gateways.max(1);
-        let is_cold = pace.cold_until.is_some_and(|until| now < until);
-        let cold = self.cold_rule(&pace.service).filter(|_| is_cold);
-        let cold = cold.map(|rule| cold_interval(rule, self.input.rule, gateways));
         let found = pace.found.filter(|found| !found.is_waived);
         let found = found.filter(|found| found.ended_at.is_none());
         let found =
             found.map(|found| Duration::from_secs_f64(f64::from(gateways) / found.rate.max(0.01)));
-        cold.max(found)
+        self.bound_interval(pace, now).max(found)
+    }
+
+    /// Returns the interval that the cold bound demands.
+    fn bound_interval(&self, pace: &TargetPace, now: Instant) -> Option<Duration> {
+        let is_cold = pace.cold_until.is_some_and(|until| now < until);
+        let cold = self.cold_rule(&pace.service).filter(|_| is_cold);
+        cold.map(|rule| cold_interval(rule, self.input.rule, self.fleet.gateways()))
     }
 
     /// Records the first answer of a target; returns the change if the target carries its share now.
@@ -498,6 +572,7 @@
         now: Instant,
     ) -> Vec<(u32, PaceChange)> {
         self.input = input;
+        self.fleet.update(input, now);
         let mut carrying: HashMap<&ServiceName, u32> = HashMap::new();
         let mut members: HashMap<(&ServiceName, Option<&GroupName>), (u32, u32)> = HashMap::new();
         for paced in targets.iter().filter(|paced| paced.is_usable) {
@@ -590,7 +665,8 @@
 
     fn end_at(&mut self, share: Option<f64>, now: Instant) -> Option<PaceChange> {
         let is_reached = share.is_none_or(|share| self.rate >= share);
-        is_reached.then(|| {
+        let has_lasted = now >= self.began_at + MAX_FOUND_TIME;
+        (is_reached || has_lasted).then(|| {
             self.ended_at = Some(now);
             PaceChange::Carries(now.saturating_duration_since(self.began_at))
         })
--- a/crates/core/src/dispatch/target_roster.rs
+++ b/crates/core/src/dispatch/target_roster.rs
@@ -552,6 +552,14 @@
         self.limits.admits(target.name_hash, now) && self.pacer.admits(target.name_hash, now)
     }
 
+    /// Returns whether a target may take a request now although its found pace is not due. With
+    /// nothing in flight here it is idle, and the request would otherwise wait.
+    pub fn admits_idle(&self, target: &DirectTarget, now: Instant) -> bool {
+        target.own_in_flight == 0
+            && self.limits.admits(target.name_hash, now)
+            && self.pacer.admits_bound(target.name_hash, now)
+    }
+
     /// Records that this gateway sends a request to a target.
     pub fn record_start(&mut self, key: TargetKey, share: FleetShare, now: Instant) {
         if let Some(target) = self.targets.get_mut(key) {
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -301,7 +301,13 @@
             self.state.record_answer(&self.traits, now);
         }
         self.state.record_first_answer(&self.service, elapsed);
-        self.record_paced_answer(key, now);
+        // Errors come faster than answers of a target that works.
+        if status.is_success() {
+            self.record_paced_answer(key, now);
+        } else if status.is_server_error() {
+            let mut roster = self.state.roster.borrow_mut();
+            self.state.record_paced_error(&mut roster, key);
+        }
         self.record_answered(status);
         Ok(RequestOutcome::Answered(response))
     }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -22,8 +22,8 @@
             DatedSlowdown, DatedView, DurationEstimate, EraChange, FleetShare, GroupLoad, KnownEra,
             LimitNews, MemoryPlan, PeerInquiry, PeerTable, RequestQuarantine, RequestRate,
             RetryBudgets, RetryHandover, RetryRule, RosterChange, RouteRule, RouteTable, Slowdown,
-            StopPlan, StoreEra, StoreStamp, TargetDeparture, TargetKey, TargetList, TargetRoster,
-            ZoneEvacuation,
+            StopPlan, StoreEra, StoreStamp, TargetDeparture, TargetHealth, TargetKey, TargetList,
+            TargetRoster, ZoneEvacuation,
         },
         events::LogEvent::{
             GroupChanged, GroupForming, PeerTableRejected, StoreAnswerOutdated, StoreEraAbandoned,
@@ -862,15 +862,7 @@
     /// Records a successful attempt, which also shows that the group of the target runs.
     pub fn record_success(&self, key: TargetKey) {
         let mut roster = self.roster.borrow_mut();
-        let mut has_recovered = false;
-        if let Some(target) = roster.get_mut(key) {
-            let was_ejected = target.health.is_ejected();
-            target.health.record_success(Instant::now());
-            has_recovered = was_ejected && !target.health.is_ejected();
-        }
-        if has_recovered {
-            self.begin_pace(&mut roster, key);
-        }
+        self.record_health(&mut roster, key, TargetHealth::record_success);
         let changes = roster.note_running_group(key, Instant::now());
         drop(roster);
         self.note_changes(&changes, "answer");
@@ -878,9 +870,9 @@
 
     /// Records a response with a server error, which the target itself reports.
     pub fn record_error_answer(&self, key: TargetKey) {
-        if let Some(target) = self.roster.borrow_mut().get_mut(key) {
-            target.health.record_error_answer(Instant::now());
-        }
+        let mut roster = self.roster.borrow_mut();
+        self.record_paced_error(&mut roster, key);
+        self.record_health(&mut roster, key, TargetHealth::record_error_answer);
     }
 
     /// Records a failed attempt. After several in a row the target is ejected for a while, and its
--- a/crates/daemon/src/gateway/target_pace.rs
+++ b/crates/daemon/src/gateway/target_pace.rs
@@ -9,7 +9,7 @@
     sassafrasslip_core::{
         dispatch::{
             DirectTarget, FirstAnswer, PaceChange, PaceInput, PaceNews, PaceRule, RequestRate,
-            RouteTable, TargetKey, TargetRoster,
+            RouteTable, TargetHealth, TargetKey, TargetRoster,
         },
         events::LogEvent::{PaceBegun, TargetCarries, TargetCold},
         log_event,
@@ -20,15 +20,6 @@
     tokio::time::Instant,
 };
 
-/// Uptime from which on a gateway knows the others: reports that name all of them come every two
-/// seconds from each peer in fleets of usual size.
-const FLEET_KNOWN_AFTER: Duration = Duration::from_secs(4);
-
-/// Number of gateways that are assumed before, if more are not known: that of the largest fleets
-/// in service. Too high a number costs a cold target some requests for seconds, too low a one
-/// crashes it.
-const ASSUMED_GATEWAYS: u32 = 64;
-
 impl GatewayState {
     /// Takes over the cold rules of a configuration.
     pub(super) fn set_cold_rules(&self, table: &RouteTable) {
@@ -72,8 +63,32 @@
         }
     }
 
+    /// Records that a target has answered with a server error, which says nothing of its pace.
+    pub(super) fn record_paced_error(&self, roster: &mut TargetRoster, key: TargetKey) {
+        if let Some(target) = roster.get(key).map(|target| target.name_hash) {
+            roster.pacer_mut().record_failure(target, Instant::now());
+        }
+    }
+
+    /// Records the health that an answer shows. A pace begins if the answer ends an ejection.
+    pub(super) fn record_health(
+        &self,
+        roster: &mut TargetRoster,
+        key: TargetKey,
+        record: fn(&mut TargetHealth, Instant),
+    ) {
+        let Some(target) = roster.get_mut(key) else {
+            return;
+        };
+        let was_ejected = target.health.is_ejected();
+        record(&mut target.health, Instant::now());
+        if was_ejected && !target.health.is_ejected() {
+            self.begin_pace(roster, key);
+        }
+    }
+
     /// Begins to find the pace of a target that is back after an outage.
-    pub(super) fn begin_pace(&self, roster: &mut TargetRoster, key: TargetKey) {
+    fn begin_pace(&self, roster: &mut TargetRoster, key: TargetKey) {
         let change = roster.begin_pace(key, Instant::now());
         if let Some((change, target)) = change.zip(roster.get(key)) {
             log_change(roster, target.name_hash, change, "answer");
@@ -85,19 +100,14 @@
 pub(super) fn update(state: &GatewayState, now: Instant) {
     let known = state.peers.borrow().sharing_gateways(now);
     let has_peers = known > 1 || !state.options.seeds.is_empty();
-    let is_new = now < state.started_at + FLEET_KNOWN_AFTER;
-    let gateways = if has_peers && is_new {
-        known.max(ASSUMED_GATEWAYS)
-    } else {
-        known
-    };
     let input = PaceInput {
         rule: PaceRule {
             ratio: state.options.cold_ratio,
             allowance: state.options.cold_allowance,
             finds_pace: state.options.find_pace,
         },
-        gateways,
+        gateways: known,
+        has_peers,
         draw: rand::random(),
     };
     let mut roster = state.roster.borrow_mut();
