Keep the health of targets unchanged by errors of requests that run once

Change: such an error lowers the pace only. An update of the paces ends early when there are no paces and none are to be found.

Tests: no new ones; target_pace, direct_dispatch, worst_load and zone_evacuation cover the update.

--- a/crates/core/src/dispatch/target_pace.rs
+++ b/crates/core/src/dispatch/target_pace.rs
@@ -576,6 +576,9 @@
     ) -> Vec<(u32, PaceChange)> {
         self.input = input;
         self.fleet.update(input, now);
+        if self.targets.is_empty() && !input.rule.finds_pace {
+            return mem::take(&mut self.listed);
+        }
         let mut carrying: HashMap<&ServiceName, u32> = HashMap::new();
         let mut members: HashMap<(&ServiceName, Option<&GroupName>), (u32, u32)> = HashMap::new();
         for paced in targets.iter().filter(|paced| paced.is_usable) {
--- a/crates/daemon/src/gateway/request/silence.rs
+++ b/crates/daemon/src/gateway/request/silence.rs
@@ -305,7 +305,7 @@
         if status.is_success() {
             self.record_paced_answer(key, now);
         } else if status.is_server_error() {
-            self.state.record_error_answer(key);
+            self.state.record_paced_error(key, now);
         }
         self.record_answered(status);
         Ok(RequestOutcome::Answered(response))
--- a/crates/daemon/src/gateway/target_pace.rs
+++ b/crates/daemon/src/gateway/target_pace.rs
@@ -74,6 +74,14 @@
         log_begun(roster, key, change);
     }
 
+    /// Records a server error to a request that may run once. It lowers the pace only.
+    pub(super) fn record_paced_error(&self, key: TargetKey, now: Instant) {
+        let mut roster = self.roster.borrow_mut();
+        if let Some(target) = roster.get(key).map(|target| target.name_hash) {
+            roster.pacer_mut().record_failure(target, now);
+        }
+    }
+
     /// Records a response with a server error, which the target itself reports.
     pub fn record_error_answer(&self, key: TargetKey) {
         let mut roster = self.roster.borrow_mut();
