--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -83,7 +83,7 @@
     2047 TargetCarries Info "target carries its share";
     2050 BodyRefused Info "body of a caller refused because the memory for bodies is used up";
     2051 CallerDisplaced Warn "body or answer of a caller gives way to others";
-    2052 BodyStalled Info "body of a caller makes no progress and is refused";
+    2052 BodyStalled Info "body of a caller takes too long and is refused";
     2055 OverloadChanged Info "demand that can be on time rose above the capacity, or fell below it";
     3001 TeamLimited Info "team limit reached";
     3002 QueueFull Info "request queue is full";
