Test that a group that forms anew is not throttled in part

Cause: no test covered ranks of a new group that reach their share later than the others.

Change: none to the code; it passes as it is.

Tests: second_half_of_a_new_group_is_not_held_back, taken over from a review.

--- a/crates/core/tests/target_pace.rs
+++ b/crates/core/tests/target_pace.rs
@@ -814,3 +814,45 @@
     let begun = roster.begin_zone_paces(&"ruwi".parse().unwrap(), now);
     assert_eq!(begun.len(), keys.len());
 }
+
+/// Guards against a group that forms anew and throttles the ranks that have not reached their share
+/// when the others have.
+#[test]
+fn second_half_of_a_new_group_is_not_held_back() {
+    let (start, service, group) = (Instant::now(), service(), group());
+    let targets: Vec<_> = (0..16)
+        .map(|target| paced(target, &service, Some(&group)))
+        .collect();
+    let mut pacer = loaded_pacer(&targets, &service, start);
+    let begin = start + 4 * SECOND;
+    for target in &targets {
+        pacer.begin(*target, begin);
+    }
+    pacer.update(LONE_REPLAY.input(0.5), &targets, begin);
+    let answer = |sent_at| FirstAnswer {
+        is_stream: true,
+        sent_at,
+        arrived_at: sent_at + ANSWER_TIME,
+    };
+    for round in 0..4 {
+        let now = begin + Duration::from_millis(210 * round + 1);
+        for target in 0..8 {
+            pacer.record_start(target, &service, now);
+            pacer.record_answer(target, &service, answer(now));
+        }
+    }
+    let now = begin + SECOND;
+    pacer.update(LONE_REPLAY.input(0.5), &targets, now);
+    for target in 0..16 {
+        let mut count = 0;
+        for step in 0..100 {
+            let now = now + STEP * step;
+            if pacer.admits(target, now) {
+                pacer.record_start(target, &service, now);
+                pacer.record_answer(target, &service, answer(now));
+                count += 1;
+            }
+        }
+        assert!(count >= 20, "rank {target}: {count} in a second");
+    }
+}
