--- a/crates/core/src/dispatch/dispatch_queue.rs
+++ b/crates/core/src/dispatch/dispatch_queue.rs
@@ -225,10 +225,9 @@
                 continue;
             }
             let wait = self.plan.late_wait(late_running + position, waiter.draw());
-            // A caller that has come back cannot return once more, so it waits while the overload
-            // will likely end in time.
-            let keeps =
-                !request.can_return && self.plan.keeps_returned(request.start_until, now);
+            // A caller that has come back cannot return once more, so it waits for a place that the
+            // next fall of the demand may free.
+            let keeps = !request.can_return;
             if keeps || wait.is_some_and(|wait| now + wait <= request.start_until) {
                 position += 1;
                 continue;
--- a/crates/core/src/dispatch/overload_plan.rs
+++ b/crates/core/src/dispatch/overload_plan.rs
@@ -66,8 +66,6 @@
 pub struct OverloadPlan {
     /// Whether the arrivals that can be on time need more than the capacity.
     pub is_overloaded: bool,
-    /// Since when they have; `None` without an overload, or if it has just begun.
-    pub overloaded_since: Option<Instant>,
     /// Part of the places for late requests that belongs to this gateway; unlimited without a known
     /// capacity.
     quota: f64,
@@ -80,7 +78,6 @@
     fn default() -> Self {
         Self {
             is_overloaded: false,
-            overloaded_since: None,
             quota: f64::INFINITY,
             load: 0.0,
             length: Duration::ZERO,
@@ -97,34 +94,22 @@
         let share = own.late() / all.late().max(own.late()).max(1.0);
         Self {
             is_overloaded: spare <= 0.0,
-            overloaded_since: None,
             quota: spare * share,
             load: needed / f64::from(capacity.limit.max(1)),
             length: capacity.length,
         }
     }
 
-    /// Returns the plan that follows `previous`. An overload goes on until the load is somewhat below
-    /// the capacity.
-    pub fn following(self, previous: Option<&Self>, now: Instant) -> Self {
-        let was_overloaded = previous.is_some_and(|plan| plan.is_overloaded);
-        let is_overloaded = self.is_overloaded || was_overloaded && self.load >= END_SHARE;
-        let since = previous.and_then(|plan| plan.overloaded_since).unwrap_or(now);
+    /// Returns the plan that follows one with or without an overload, which goes on until the load is
+    /// somewhat below the capacity.
+    pub fn following(self, was_overloaded: bool) -> Self {
+        let continues = was_overloaded && self.load >= END_SHARE;
         Self {
-            is_overloaded,
-            overloaded_since: is_overloaded.then_some(since),
+            is_overloaded: self.is_overloaded || continues,
             ..self
         }
     }
 
-    /// Returns whether a late request that starts until `start_until`, and whose caller cannot return,
-    /// waits although no place for it is expected. An overload of a given age lasts as long again with
-    /// a probability of one half.
-    pub fn keeps_returned(&self, start_until: Instant, now: Instant) -> bool {
-        let age = self.overloaded_since.map(|since| now.saturating_duration_since(since));
-        age.is_none_or(|age| start_until.saturating_duration_since(now) >= age)
-    }
-
     /// Returns whether no capacity is known, so that the plan restricts nothing.
     pub fn is_unlimited(&self) -> bool {
         self.quota.is_infinite()
--- a/crates/daemon/src/gateway/overload.rs
+++ b/crates/daemon/src/gateway/overload.rs
@@ -167,12 +167,12 @@
     };
     let limit = own.total_limit(&groups);
     let capacity = peers.mean_capacity(hash, ServiceCapacity { limit, length }, now);
-    let previous = own.plan.map(|(plan, _)| plan);
+    let was_overloaded = own.is_overloaded();
     let own_demand = own.demand(late_waiting, now);
     let all = own_demand.plus(peers.total(hash, now));
-    let plan = OverloadPlan::new(&own_demand, &all, &capacity).following(previous.as_ref(), now);
+    let plan = OverloadPlan::new(&own_demand, &all, &capacity).following(was_overloaded);
     own.plan = Some((plan, now));
-    if plan.is_overloaded != previous.is_some_and(|plan| plan.is_overloaded) {
+    if plan.is_overloaded != was_overloaded {
         log_event!(
             OverloadChanged,
             service = service,
