--- a/crates/core/src/dispatch/caller_memory.rs
+++ b/crates/core/src/dispatch/caller_memory.rs
@@ -28,7 +28,7 @@
 pub const CONNECTION_BYTES: usize = 48 * 1024;
 
 /// Highest number of connections, whatever the memory.
-const MAX_CONNECTIONS: usize = 2048;
+const CONNECTION_LIMIT: usize = 2048;
 
 /// Highest number of bytes of answers of targets that are being read, whatever the memory.
 const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
@@ -55,7 +55,7 @@
             bodies: limit / 16 * 3,
             collected: (limit / 32 * 3).min(MAX_COLLECTED_BYTES),
             answers: limit / 64 * 3,
-            connections: (limit / 8 * 3 / CONNECTION_BYTES).min(MAX_CONNECTIONS),
+            connections: (limit / 8 * 3 / CONNECTION_BYTES).min(CONNECTION_LIMIT),
         }
     }
 }
