--- a/crates/core/src/dispatch/zone_evacuation.rs
+++ b/crates/core/src/dispatch/zone_evacuation.rs
@@ -16,7 +16,7 @@
 
 /// Time for which gateways tell each other that the last emptied zone was taken back. A gateway that
 /// is out of reach for longer learns it from the next snapshot.
-const TELLING_TIME: Duration = Duration::from_secs(10);
+const REPORT_TIME: Duration = Duration::from_secs(10);
 
 /// Changes since an earlier read cannot be applied, because that read is not known here. The set has
 /// to be read as a whole.
@@ -72,8 +72,8 @@
 
     /// Returns the set if other gateways have to hear of it without asking: while a zone is emptied,
     /// and for some time afterwards.
-    pub fn told(&self, now: Instant) -> Option<&EmptiedZones> {
-        let is_recent = self.changed_at.is_some_and(|at| now < at + TELLING_TIME);
+    pub fn reported(&self, now: Instant) -> Option<&EmptiedZones> {
+        let is_recent = self.changed_at.is_some_and(|at| now < at + REPORT_TIME);
         let latest = self.latest.as_ref();
         latest.filter(|latest| is_recent || !latest.zones.is_empty())
     }
--- a/crates/core/tests/zone_evacuation.rs
+++ b/crates/core/tests/zone_evacuation.rs
@@ -135,12 +135,16 @@
     let now = Instant::now();
     let mut evacuation = ZoneEvacuation::default();
     evacuation.apply(set((0, 1), &[]), now);
-    assert_eq!(evacuation.told(now), None);
+    assert_eq!(evacuation.reported(now), None);
     evacuation.apply(set((0, 2), &["a"]), now);
-    assert!(evacuation.told(now + Duration::from_secs(3600)).is_some());
+    assert!(
+        evacuation
+            .reported(now + Duration::from_secs(3600))
+            .is_some()
+    );
     evacuation.apply(set((0, 3), &[]), now);
-    assert!(evacuation.told(now + Duration::from_secs(9)).is_some());
-    assert_eq!(evacuation.told(now + Duration::from_secs(11)), None);
+    assert!(evacuation.reported(now + Duration::from_secs(9)).is_some());
+    assert_eq!(evacuation.reported(now + Duration::from_secs(11)), None);
 }
 
 fn service() -> ServiceName {
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -339,7 +339,7 @@
     now: Instant,
     outcomes: &mut Vec<(Waiter, Result<TargetLease>)>,
 ) -> Option<UnavailableCause> {
-    home_requests::refuse_homeless(state, service, queue, now, outcomes);
+    home_requests::refuse_without_home_target(state, service, queue, now, outcomes);
     let slice = start_slice(state, now);
     let mut allows_late = true;
     for key in queue.requests.order(now) {
--- a/crates/daemon/src/gateway/admission/home_requests.rs
+++ b/crates/daemon/src/gateway/admission/home_requests.rs
@@ -16,7 +16,7 @@
 };
 
 /// Refuses the requests that only targets in some zones may run, if none of these takes requests.
-pub(super) fn refuse_homeless(
+pub(super) fn refuse_without_home_target(
     state: &GatewayState,
     service: &ServiceName,
     queue: &mut ServiceQueue,
--- a/crates/daemon/src/gateway/emptied_zones.rs
+++ b/crates/daemon/src/gateway/emptied_zones.rs
@@ -22,7 +22,7 @@
 
 /// Most emptied zones that a load report names. Larger sets, which no fleet needs, come with
 /// snapshots only, so that reports stay small.
-const MAX_TOLD_ZONES: usize = 32;
+const MAX_REPORTED_ZONES: usize = 32;
 
 impl GatewayState {
     /// Returns whether this gateway knows which zones are emptied.
@@ -179,11 +179,11 @@
     }
 
     /// Returns the emptied zones for a load report; `None` if there is no need to tell.
-    pub fn told_zones_record(&self, now: Instant) -> Option<EmptiedZonesRecord> {
+    pub fn reported_zones_record(&self, now: Instant) -> Option<EmptiedZonesRecord> {
         let evacuation = self.evacuation.borrow();
-        let told = evacuation.told(now);
-        let told = told.filter(|told| told.zones.len() <= MAX_TOLD_ZONES);
-        told.map(|told| zones_record(told, evacuation.changed_at(), now))
+        let reported = evacuation.reported(now);
+        let reported = reported.filter(|set| set.zones.len() <= MAX_REPORTED_ZONES);
+        reported.map(|set| zones_record(set, evacuation.changed_at(), now))
     }
 
     /// Returns the zones in which a request may run.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -242,7 +242,7 @@
             .collect(),
         revision,
         document_era: document_era.value(),
-        emptied_zones: state.told_zones_record(now),
+        emptied_zones: state.reported_zones_record(now),
         ..part_news::encode(&state.quarantine.borrow(), now)
     };
     drop(roster);
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -100,9 +100,10 @@
         })
     };
     let begin_share = |displaced| state.held_bodies.share(address, displaced);
+    let until = body_deadline(state, caller, parts);
     let body = tokio::select! {
         biased;
-        body = request_body::read(incoming, limit, body_deadline(state, caller, parts), begin_share) => {
+        body = request_body::read(incoming, limit, until, begin_share) => {
             body.inspect_err(|error| log_body_error(*error, address))?
         }
         () = state.ending.cancelled() => {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -772,8 +772,8 @@
     }
 
     /// Returns whether the gateway has a configuration, knows targets and the emptied zones, so that
-    /// it can serve requests. After its start it waits for peers, if it has any, before it relies on a store that
-    /// may hold the content of a copy.
+    /// it can serve requests. After its start it waits for peers, if it has any, before it relies on
+    /// a store that may hold the content of a copy.
     pub fn can_serve(&self, now: Instant) -> bool {
         let has_peers = !self.options.seeds.is_empty() || self.peers.borrow().known().len() > 0;
         self.table.borrow().is_some()
