--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -410,6 +410,7 @@
     for (key, refusal) in queue.requests.refuse_late(running, now) {
         if let Some(waiter) = queue.waiters.remove(key) {
             state.metrics.waiting.dec();
+            overload::count_refusal(state, service);
             let reason = "late, and all places are needed for requests on time";
             outcomes.push((waiter, Err(AdmissionRefusal { refusal, reason })));
         }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -23,6 +23,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the metrics of services over their capacity.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ServiceLabels {
+    /// Service whose targets form groups.
+    pub service: String,
+}
+
 /// Labels of the metrics of memory that is held for callers.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct HoldLabels {
@@ -57,6 +64,10 @@
     pub memory_refusals: Family<HoldLabels, Counter>,
     /// Bodies and answers that gave way to others.
     pub displaced: Family<HoldLabels, Counter>,
+    /// Whether a service is over its capacity, as 0 or 1.
+    pub overloaded: Family<ServiceLabels, Gauge>,
+    /// Late requests that were refused because all places were needed for requests on time.
+    pub late_refusals: Family<ServiceLabels, Counter>,
     /// Streams that were resumed at another target.
     pub moved_streams: Counter,
     /// Ejections of targets after failures.
@@ -109,6 +120,8 @@
             held_bytes: Family::default(),
             memory_refusals: Family::default(),
             displaced: Family::default(),
+            overloaded: Family::default(),
+            late_refusals: Family::default(),
             moved_streams: Counter::default(),
             ejections: Counter::default(),
             channels: Counter::default(),
@@ -222,6 +235,12 @@
             );
             let cold = metrics.cold_targets.clone();
             registry.register("gateway_cold_targets", "Cold targets", cold);
+            let overloaded = metrics.overloaded.clone();
+            let help = "Whether a service is over its capacity";
+            registry.register("gateway_overloaded", help, overloaded);
+            let refusals = metrics.late_refusals.clone();
+            let help = "Late requests refused for want of places";
+            registry.register("gateway_late_refusals", help, refusals);
             let paced = metrics.paced_targets.clone();
             let help = "Targets that do not carry their share yet";
             registry.register("gateway_paced_targets", help, paced);
--- a/crates/daemon/src/gateway/overload.rs
+++ b/crates/daemon/src/gateway/overload.rs
@@ -4,7 +4,7 @@
 //! counts its own demand, tells it in its load reports, and plans its starts with the sum.
 
 use {
-    super::{admission::AdmissionRequest, state::GatewayState},
+    super::{admission::AdmissionRequest, metrics::ServiceLabels, state::GatewayState},
     sassafrasslip_core::{
         dispatch::{
             ArrivalRate, DemandNews, DemandReport, OverloadPlan, ServiceCapacity, ServiceDemand,
@@ -88,6 +88,18 @@
     }
 }
 
+/// Counts a late request that is refused.
+pub fn count_refusal(state: &GatewayState, service: &ServiceName) {
+    let refusals = &state.metrics.late_refusals;
+    refusals.get_or_create(&labels(service)).inc();
+}
+
+fn labels(service: &ServiceName) -> ServiceLabels {
+    ServiceLabels {
+        service: service.to_string(),
+    }
+}
+
 /// Returns the hash by which load reports name a service.
 fn service_hash(service: &ServiceName) -> u32 {
     xxh3_64(service.as_str().as_bytes()) as u32
@@ -173,6 +185,8 @@
     let plan = OverloadPlan::new(&own_demand, &all, &capacity).following(was_overloaded);
     own.plan = Some((plan, now));
     if plan.is_overloaded != was_overloaded {
+        let overloaded = state.metrics.overloaded.get_or_create(&labels(service));
+        overloaded.set(i64::from(plan.is_overloaded));
         log_event!(
             OverloadChanged,
             service = service,
