--- a/crates/core/src/dispatch/caller_memory.rs
+++ b/crates/core/src/dispatch/caller_memory.rs
@@ -33,8 +33,8 @@
 /// Highest number of bytes of answers of targets that are being read, whatever the memory.
 const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
 
-/// Division of the memory limit of a process. A quarter of it is left for everything else: a gateway
-/// without such callers takes up to 38 MB in a fleet of 300 instances (docs/CAPACITY.md).
+/// Division of the memory limit of a process. A quarter of it is left for everything else. Without such
+/// callers a gateway takes 30 MB at most in a fleet of 100 instances (docs/CAPACITY.md).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct MemoryPlan {
     /// Bytes of request bodies, from their first byte to the end of the request.
